--- /dev/null
+++ b/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operator's command line of lacewingmoor.
+
+fn main() {}
--- /dev/null
+++ b/control/src/message.rs
@@ -0,0 +1,113 @@
+//! Messages between entries that concern the reducer.
+
+use std::time::Duration;
+
+use lacewingmoor_bundle::{Digest, TargetId, Version};
+use lacewingmoor_derive::wire;
+
+use crate::TargetState;
+
+/// A message between entries. Send times are on the sender's monotonic clock.
+#[wire]
+pub enum Message {
+    /// Sign of life.
+    Heartbeat(Heartbeat),
+    /// Asks for votes for the ownership of targets.
+    Claim {
+        /// Send time, echoed in the vote.
+        sent: Duration,
+        /// Hash of the roster of the targets' region as the claimant sees it.
+        roster: u64,
+        /// Targets claimed, all of one region.
+        targets: Vec<TargetId>,
+    },
+    /// Answers a claim.
+    Vote {
+        /// Send time of the claim.
+        claim_sent: Duration,
+        /// Targets that the voter promises to no other claimant for `LEASE_TTL`.
+        granted: Vec<TargetId>,
+    },
+    /// Tells an owner what this entry uses and wants.
+    Demand {
+        /// Send time, echoed in the grant.
+        sent: Duration,
+        /// One item a target.
+        items: Vec<DemandItem>,
+    },
+    /// Grants slots to the sender of a demand.
+    Grant {
+        /// Send time of the demand that the grant answers; expiry counts from it.
+        demand_sent: Duration,
+        /// One item a target.
+        items: Vec<GrantItem>,
+    },
+    /// Tells an owner what was seen on answers of its target.
+    Observe {
+        /// The target.
+        target: TargetId,
+        /// What was seen.
+        sight: Sight,
+    },
+}
+
+/// Sign of life and of the sender's knowledge.
+#[wire]
+pub struct Heartbeat {
+    /// Send time.
+    pub sent: Duration,
+    /// Zone name of the sender.
+    pub zone: String,
+    /// Region name of the sender.
+    pub region: String,
+    /// False while the sender is stopping or not ready.
+    pub ready: bool,
+    /// Bundle version in force, 0 if none.
+    pub version: Version,
+    /// Manifest digest of that version.
+    pub digest: Digest,
+    /// Age of the sender's last confirmation that this version is the newest; `None` if never.
+    pub fresh_age: Option<Duration>,
+    /// True if the sender's own last store call failed.
+    pub store_down: bool,
+}
+
+/// Demand for one target.
+#[wire]
+pub struct DemandItem {
+    /// The target.
+    pub target: TargetId,
+    /// Slots in use by the sender.
+    pub in_use: u32,
+    /// Slots that the sender could use, those in use included.
+    pub wanted: u32,
+}
+
+/// Slots granted on one target.
+#[wire]
+pub struct GrantItem {
+    /// The target.
+    pub target: TargetId,
+    /// Slots granted in all, not in addition.
+    pub slots: u32,
+    /// State of the target as its owner sees it.
+    pub state: TargetState,
+}
+
+/// What an entry saw on the answers of a target that it does not own.
+#[wire]
+pub enum Sight {
+    /// The connection was refused.
+    Refused,
+    /// The target declared a request unrun.
+    Shed,
+    /// The target's start id changed.
+    Restarted {
+        /// Hash of the new start id.
+        start: u64,
+    },
+    /// The target reports that it drains.
+    Draining,
+    /// Answers are far slower than before and fail.
+    Collapsed,
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform, for tests and demonstrations.
