bundle: Read, split, sign and assemble bundles

Cause: entries and the command line need one form of the bundle for distribution, so that a change to one service transfers a manifest and one part.

Parts are compact JSON of the raw types; the manifest is bincode. JSON for the manifest was ruled out because it writes digests in hexadecimal. The version is only in the manifest, since in the common part it would change that part with every version. Signatures cover a context string and the manifest bytes as received, so that nothing is re-encoded to be verified, and a manifest that is not in canonical form is refused.

Conclusion: verify, missing, check_part and assemble are what an entry needs. Ranges and rules across fields are not checked yet.

--- a/bundle/src/lib.rs
+++ b/bundle/src/lib.rs
@@ -1,8 +1,17 @@
 //! The versioned, signed configuration bundle: raw YAML, checked types, parts and signatures.
 
+mod check;
+mod error;
 mod model;
+mod part;
+mod raw;
+mod sign;
 
+pub use error::{Error, Fault};
 pub use model::*;
+pub use part::*;
+pub use raw::*;
+pub use sign::*;
 
 /// Hash map with a fast hasher, for keys that callers cannot choose freely.
 pub type Map<K, V> = rustc_hash::FxHashMap<K, V>;
