Track requests from arrival to end under the baseline policies

The skeleton sent every request round robin and knew nothing of its end. The reducer now keeps each request until its last attempt has ended, so that retries, deadlines, cancellation and slots can be decided in one place. A request whose rules a new bundle removes keeps its place in the books but is never sent again.

Retries after an unsent or shed attempt need a replayable body: the traffic side may have consumed the body by then. The alternative, to retry an unsent attempt always, was ruled out because it would depend on how far the client library got.

DemandItem gains spare, held and answered. Without held, an owner cannot tell whether a lowered grant has been received; without answered, it cannot advance the warm-up of a target that other entries use.

--- /dev/null
+++ b/control/src/flow.rs
@@ -0,0 +1,523 @@
+//! The way of a request: arrival, queue, attempts, answer, end.
+
+use std::time::Duration;
+
+use lacewingmoor_bundle::TargetId;
+
+use crate::request::{Open, Request, Rules, Stage};
+use crate::select::Choice;
+use crate::{
+    Arrival, Attempt, DecisionKind, Dispatch, Effect, Fate, LoadReport, Outcome, Reason, Refusal,
+    RequestId, State, Timer,
+};
+
+/// Queued requests that are looked at in one pass over a queue whose head cannot be served.
+const SCAN_MAX: usize = 32;
+
+/// Time that a caller is asked to wait before it tries again.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+impl State {
+    pub(crate) fn arrived(&mut self, now: Duration, arrival: Arrival, out: &mut Vec<Effect>) {
+        let id = arrival.request;
+        let Some(bundle) = self.bundle().cloned() else {
+            return self.turn_down(id, Reason::NoBundle, out);
+        };
+        let rules = Rules::find(
+            &bundle,
+            self.region,
+            &arrival.method,
+            &arrival.path,
+            arrival.tenant.as_deref(),
+        );
+        let rules = match rules {
+            Ok(rules) => rules,
+            Err(reason) => return self.turn_down(id, reason, out),
+        };
+        if !self.members.fresh(now) {
+            return self.turn_down(id, Reason::Isolated, out);
+        }
+        if arrival.body_bytes.is_some_and(|b| b > rules.body_bytes_max) {
+            return self.turn_down(id, Reason::BodyTooLarge, out);
+        }
+        let limit = bundle.routes[rules.route].deadline;
+        let deadline = now + arrival.deadline.map_or(limit, |d| d.min(limit));
+        let service = &mut self.fleet.services[rules.service];
+        service.retries.earn(bundle.limits.retry_percent);
+        service.hedges.earn(bundle.limits.hedge_percent);
+        self.timer(deadline, Timer::Deadline(id));
+        let request = Request::new(deadline, arrival, rules);
+        if let Some(earlier) = self.requests.insert(id, request) {
+            self.violation("request_id_unique", format!("request {id}"), out);
+            self.requests.insert(id, earlier);
+            return;
+        }
+        self.place(now, id, "arrived", out);
+    }
+
+    /// Sends a request to a target, or queues it, or refuses it.
+    pub(crate) fn place(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        cause: &'static str,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.remove(&id) else {
+            return;
+        };
+        let service = request.rules.service;
+        // Requests that wait go first, so that a newcomer does not take the slot they wait for.
+        let waits = !self.fleet.services[service].queue.is_empty() && request.attempts == 0;
+        let choice = if waits {
+            Choice::Busy
+        } else {
+            self.choose(now, &request)
+        };
+        self.requests.insert(id, request);
+        match choice {
+            Choice::Target(index, reason) => {
+                let reason = if cause == "arrived" { reason } else { cause };
+                self.dispatch(now, id, index, reason, out);
+            }
+            Choice::Busy => {
+                self.enqueue(now, id, out);
+                self.pump(now, service, out);
+            }
+            Choice::Nowhere => self.give_up(now, id, Reason::NoTarget, out),
+        }
+    }
+
+    fn enqueue(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
+        let queue_max = self.bundle().map_or(0, |b| b.limits.queue_max);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let rules = &request.rules;
+        let service = &mut self.fleet.services[rules.service];
+        let left = request.deadline.saturating_sub(now).as_secs_f64();
+        let wait = service.drain_interval * service.queue.len() as f64;
+        if !service.queue.is_empty() && wait + service.latency.mean().as_secs_f64() > left {
+            return self.give_up(now, id, Reason::Deadline, out);
+        }
+        let place = service
+            .queue
+            .push(id, rules.tenant, rules.share, rules.weight);
+        request.stage = Stage::Queued(place);
+        let spare = service
+            .latency
+            .mean()
+            .min(request.deadline.saturating_sub(now) / 2);
+        let last_call = request.deadline.saturating_sub(spare);
+        let full = service.queue.len() > queue_max;
+        let loser = service.queue.last();
+        self.timer(last_call, Timer::Queued(id));
+        if full && let Some((_, loser)) = loser {
+            self.give_up(now, loser, Reason::QueueFull, out);
+            if loser == id {
+                return;
+            }
+        }
+        self.decide(
+            DecisionKind::Queue,
+            Some(id),
+            None,
+            None,
+            "no_free_slot",
+            out,
+        );
+    }
+
+    /// Serves the queue of a service as far as slots are free.
+    pub(crate) fn pump(&mut self, now: Duration, service: usize, out: &mut Vec<Effect>) {
+        if !self.members.fresh(now) {
+            return self.refuse_queued(now, service, Reason::Isolated, out);
+        }
+        let mut from = (0, 0);
+        let mut scanned = 0;
+        while let Some(place) = self.fleet.services[service].queue.next(from) {
+            from = (place.0, place.1 + 1);
+            let Some(request) = self.requests.remove(&place.1) else {
+                self.fleet.services[service].queue.remove(place, false);
+                continue;
+            };
+            let choice = self.choose(now, &request);
+            self.requests.insert(place.1, request);
+            match choice {
+                Choice::Target(index, reason) => {
+                    self.fleet.services[service].drained(now, place);
+                    self.dispatch(now, place.1, index, reason, out);
+                }
+                Choice::Nowhere => self.give_up(now, place.1, Reason::NoTarget, out),
+                Choice::Busy => scanned += 1,
+            }
+            if scanned >= SCAN_MAX {
+                return;
+            }
+        }
+    }
+
+    fn refuse_queued(
+        &mut self,
+        now: Duration,
+        service: usize,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        while let Some((_, id)) = self.fleet.services[service].queue.last() {
+            self.give_up(now, id, reason, out);
+        }
+    }
+
+    /// Sends an attempt of a request to the target with this index.
+    pub(crate) fn dispatch(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        index: usize,
+        reason: &'static str,
+        out: &mut Vec<Effect>,
+    ) {
+        if !self.check_dispatch(now, id, index, out) {
+            return self.give_up(now, id, Reason::NoTarget, out);
+        }
+        let entries = self.fleet.entries_all();
+        let connections = self.bundle().map_or(1, |b| {
+            let service = self.fleet.targets[index].service;
+            b.services[service].connections_max / entries
+        });
+        let target = &mut self.fleet.targets[index];
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        request.attempts += 1;
+        request.stage = Stage::Running;
+        request.open.push(Open {
+            attempt: request.attempts,
+            target: target.id,
+            sent: now,
+            head: false,
+            cancelled: false,
+        });
+        target.in_flight += 1;
+        target.latency.sent(now);
+        let dispatch = Dispatch {
+            request: id,
+            attempt: request.attempts,
+            target: target.id,
+            addr: target.addr,
+            not_after: request.deadline,
+            deadline: request.deadline,
+            body_bytes_max: request.rules.body_bytes_max,
+            connections_max: connections.max(1),
+        };
+        let attempt = Some(dispatch.attempt);
+        self.decide(
+            DecisionKind::Dispatch,
+            Some(id),
+            attempt,
+            Some(index),
+            reason,
+            out,
+        );
+        out.push(Effect::Dispatch(dispatch));
+    }
+
+    pub(crate) fn head(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        attempt: Attempt,
+        status: u16,
+        report: Option<&LoadReport>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(open) = request.open.iter_mut().find(|o| o.attempt == attempt) else {
+            return;
+        };
+        if open.head {
+            return;
+        }
+        open.head = true;
+        let (target, sent) = (open.target, open.sent);
+        let service = request.rules.service;
+        let first = request.stage == Stage::Running;
+        if first {
+            request.stage = Stage::Answered(attempt);
+            cancel_open(id, request, Some(attempt), out);
+        }
+        self.fleet.services[service]
+            .latency
+            .add(now.saturating_sub(sent));
+        self.target_answered(now, target, sent, status < 500, report, out);
+    }
+
+    pub(crate) fn ended(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        attempt: Attempt,
+        outcome: Outcome,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let Some(at) = request.open.iter().position(|o| o.attempt == attempt) else {
+            return;
+        };
+        let open = request.open.swap_remove(at);
+        let unsent = matches!(outcome, Outcome::NotSent | Outcome::Shed | Outcome::Expired);
+        if !unsent {
+            request.exposed += 1;
+        }
+        if outcome != Outcome::Expired {
+            request.tried.push(open.target);
+        }
+        let service = request.rules.service;
+        self.free(now, &open, outcome, out);
+        self.after_end(now, id, attempt, outcome, out);
+        self.pump(now, service, out);
+    }
+
+    /// Gives back the slot of an attempt and takes what its end tells about the target.
+    fn free(&mut self, now: Duration, open: &Open, outcome: Outcome, out: &mut Vec<Effect>) {
+        let Some(target) = self.fleet.get_mut(open.target) else {
+            return;
+        };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        if !open.head {
+            target.latency.settled(now);
+        }
+        let sight = match outcome {
+            Outcome::NotSent if open.sent >= target.since => target.refused(now),
+            Outcome::Shed => target.shed(now),
+            Outcome::Broken | Outcome::Cut if open.sent >= target.since => {
+                target.bad_answer(now, true)
+            }
+            _ => None,
+        };
+        self.saw(now, open.target, sight, out);
+    }
+
+    /// Decides what happens to a request after one of its attempts ended.
+    fn after_end(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        attempt: Attempt,
+        outcome: Outcome,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let over = match request.stage {
+            Stage::Over => true,
+            Stage::Answered(winner) => winner == attempt,
+            Stage::Queued(_) => false,
+            Stage::Running => matches!(outcome, Outcome::Complete | Outcome::Cut),
+        };
+        if over {
+            request.stage = Stage::Over;
+            cancel_open(id, request, None, out);
+            if request.open.is_empty() {
+                self.requests.remove(&id);
+            }
+            return;
+        }
+        if request.stage != Stage::Running {
+            return;
+        }
+        let reason = match outcome {
+            Outcome::NotSent => Reason::ConnectFailed,
+            Outcome::Shed => Reason::Shed,
+            Outcome::Expired => Reason::Deadline,
+            _ => Reason::Broken,
+        };
+        request.failure = Some(reason);
+        if request.open.is_empty() {
+            self.retry(now, id, outcome, reason, out);
+        }
+    }
+
+    /// Starts another attempt if the rules and the budget allow it, else refuses the request.
+    fn retry(
+        &mut self,
+        now: Duration,
+        id: RequestId,
+        outcome: Outcome,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let may = request.may_send() && now < request.deadline && self.members.fresh(now);
+        let retries = &mut self.fleet.services[request.rules.service].retries;
+        // An attempt that was not carried out has cost nothing and needs no token.
+        if may && (outcome == Outcome::Expired || retries.spend()) {
+            self.place(now, id, "retry", out);
+        } else {
+            self.give_up(now, id, reason, out);
+        }
+    }
+
+    pub(crate) fn caller_gone(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let service = request.rules.service;
+        let stage = request.stage;
+        request.stage = Stage::Over;
+        cancel_open(id, request, None, out);
+        if request.open.is_empty() {
+            self.requests.remove(&id);
+        }
+        if let Stage::Queued(place) = stage {
+            self.fleet.services[service].queue.remove(place, false);
+        }
+        self.pump(now, service, out);
+    }
+
+    /// Acts on the deadline of a request; an answer that has begun is not cut off.
+    pub(crate) fn deadline_passed(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        match request.stage {
+            Stage::Queued(_) => self.give_up(now, id, Reason::Deadline, out),
+            Stage::Running => {
+                for open in request.open.clone() {
+                    let target = self.fleet.get_mut(open.target);
+                    let sight = target
+                        .filter(|t| open.sent >= t.since)
+                        .and_then(|t| t.bad_answer(now, true));
+                    self.saw(now, open.target, sight, out);
+                }
+                self.give_up(now, id, Reason::Timeout, out);
+            }
+            Stage::Answered(_) | Stage::Over => {}
+        }
+    }
+
+    /// Refuses a queued request whose deadline leaves no time for an answer.
+    pub(crate) fn queued_too_long(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
+        let queued = self.requests.get(&id).map(|r| r.stage);
+        if let Some(Stage::Queued(_)) = queued {
+            self.give_up(now, id, Reason::Deadline, out);
+        }
+    }
+
+    /// Refuses a request that is known; its open attempts are cancelled.
+    pub(crate) fn give_up(
+        &mut self,
+        _now: Duration,
+        id: RequestId,
+        reason: Reason,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        if let Stage::Queued(place) = request.stage {
+            let service = request.rules.service;
+            self.fleet.services[service].queue.remove(place, false);
+        }
+        let ran = request.exposed > 0 || !request.open.is_empty();
+        // The failure of an earlier attempt says more than that no other target was left.
+        let reason = match (reason, request.failure) {
+            (Reason::NoTarget, Some(failure)) => failure,
+            (reason, _) => reason,
+        };
+        request.stage = Stage::Over;
+        cancel_open(id, request, None, out);
+        if request.open.is_empty() {
+            self.requests.remove(&id);
+        }
+        let fate = if ran { Fate::Unknown } else { Fate::NotRun };
+        self.refuse(id, fate, reason, out);
+    }
+
+    fn turn_down(&mut self, id: RequestId, reason: Reason, out: &mut Vec<Effect>) {
+        self.refuse(id, Fate::NotRun, reason, out);
+    }
+
+    fn refuse(&mut self, id: RequestId, fate: Fate, reason: Reason, out: &mut Vec<Effect>) {
+        let busy = matches!(
+            reason,
+            Reason::NoBundle
+                | Reason::QueueFull
+                | Reason::Deadline
+                | Reason::NoTarget
+                | Reason::Isolated
+                | Reason::Shed
+        );
+        let name = reason_name(reason);
+        self.decide(DecisionKind::Refuse, Some(id), None, None, name, out);
+        out.push(Effect::Refuse(Refusal {
+            request: id,
+            fate,
+            reason,
+            retry_after: (busy && fate == Fate::NotRun).then_some(RETRY_AFTER),
+        }));
+    }
+
+    /// Takes an answer of a target, whatever became of the request.
+    fn target_answered(
+        &mut self,
+        now: Duration,
+        id: TargetId,
+        sent: Duration,
+        success: bool,
+        report: Option<&LoadReport>,
+        out: &mut Vec<Effect>,
+    ) {
+        let Some(target) = self.fleet.get_mut(id) else {
+            return;
+        };
+        target.latency.settled(now);
+        let sight = target.answered(now, sent, success, report);
+        self.saw(now, id, sight, out);
+    }
+}
+
+/// Cancels the open attempts of a request except one.
+fn cancel_open(
+    id: RequestId,
+    request: &mut Request,
+    except: Option<Attempt>,
+    out: &mut Vec<Effect>,
+) {
+    let others = request.open.iter_mut();
+    for open in others.filter(|o| !o.cancelled && Some(o.attempt) != except) {
+        open.cancelled = true;
+        out.push(Effect::Cancel {
+            request: id,
+            attempt: open.attempt,
+        });
+    }
+}
+
+/// Returns the name of a reason for the decision log.
+pub(crate) fn reason_name(reason: Reason) -> &'static str {
+    match reason {
+        Reason::NoBundle => "no_bundle",
+        Reason::NoRoute => "no_route",
+        Reason::UnknownTenant => "unknown_tenant",
+        Reason::WrongRegion => "wrong_region",
+        Reason::BodyTooLarge => "body_too_large",
+        Reason::QueueFull => "queue_full",
+        Reason::Deadline => "deadline",
+        Reason::NoTarget => "no_target",
+        Reason::Isolated => "isolated",
+        Reason::Stopping => "stopping",
+        Reason::ConnectFailed => "connect_failed",
+        Reason::Shed => "shed",
+        Reason::Broken => "broken",
+        Reason::Timeout => "timeout",
+    }
+}
--- a/control/src/message.rs
+++ b/control/src/message.rs
@@ -79,8 +79,14 @@
     pub target: TargetId,
     /// Slots in use by the sender.
     pub in_use: u32,
-    /// Slots that the sender could use, those in use included.
+    /// Slots that the sender could use at once: those in use and those that requests wait for.
     pub wanted: u32,
+    /// Slots that the sender wants on top for requests yet to come.
+    pub spare: u32,
+    /// Credits that the sender holds; credits above this have been given back.
+    pub held: u32,
+    /// Successful answers of the target since the last demand.
+    pub answered: u32,
 }
 
 /// Slots granted on one target.
