Bound the age of freshness statements by the receiver's own clock

A heartbeat or a store answer that waited in a buffer while a process was paused would count as news at the time of receipt. An entry that resumes after a minute would then take work under a version that operators have replaced. Heartbeats now echo the receiver's last send time and how long it was held; store answers carry the time up to which they are known to hold, with the version found, so that only an answer about the version in force confirms it.

A windowed minimum of clock differences was ruled out: a delay that is there from the start cannot be seen in it.

--- a/control/src/event.rs
+++ b/control/src/event.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lacewingmoor_bundle::{Bundle, NodeId, TargetId};
+use lacewingmoor_bundle::{Bundle, Digest, NodeId, TargetId, Version};
 use lacewingmoor_derive::{tag, value};
 
 use crate::Message;
@@ -37,9 +37,19 @@
         /// The peer.
         node: NodeId,
     },
-    /// The store answered a read or confirmed a watch.
-    StoreReached,
-    /// A call to the store failed or timed out.
+    /// The store answered a read or a watch. A newer version is sent as `Bundle` before this event
+    /// if all of it could be fetched and verified.
+    StoreReached {
+        /// Latest time at which the answer is known to have been current: the time of the call,
+        /// plus the wait of a watch that ended without a change. The time of receipt would be too
+        /// late after a pause of this process.
+        as_of: Duration,
+        /// Version that the store holds, 0 if none.
+        version: Version,
+        /// Manifest digest of that version.
+        digest: Digest,
+    },
+    /// A call to the store failed or timed out, or its manifest is signed by no operator.
     StoreFailed,
     /// The head of a caller's request was read.
     Arrived(Arrival),
--- a/control/src/membership.rs
+++ b/control/src/membership.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use lacewingmoor_bundle::{Bundle, NodeId, Version};
+use lacewingmoor_bundle::{Bundle, Digest, NodeId, Version};
 
 use crate::{Effect, Heartbeat, PeerAddr, Setup, Vm};
 
@@ -82,8 +82,19 @@
     /// Notes a lost connection to a peer.
     pub fn peer_down(&mut self, _now: Duration, _node: NodeId) {}
 
-    /// Notes whether the last store call succeeded.
-    pub fn store_result(&mut self, _now: Duration, _reached: bool) {}
+    /// Takes an answer of the store: at `as_of` it held this version, 0 for none.
+    pub fn store_reached(
+        &mut self,
+        _now: Duration,
+        _as_of: Duration,
+        _version: Version,
+        _digest: &Digest,
+        _out: &mut Vec<Effect>,
+    ) {
+    }
+
+    /// Notes that a store call failed.
+    pub fn store_failed(&mut self, _now: Duration) {}
 
     /// Sends heartbeats that are due and updates freshness, readiness and watch roles.
     pub fn tick(&mut self, _now: Duration, _out: &mut Vec<Effect>) {}
--- a/control/src/message.rs
+++ b/control/src/message.rs
@@ -56,6 +56,9 @@
 pub struct Heartbeat {
     /// Send time.
     pub sent: Duration,
+    /// The last heartbeat that the sender got from the receiver. It bounds the age of this one on
+    /// the receiver's clock, however long this one was delayed or a process was paused.
+    pub echo: Option<Echo>,
     /// Zone name of the sender.
     pub zone: String,
     /// Region name of the sender.
@@ -72,6 +75,17 @@
     pub store_down: bool,
 }
 
+/// Echo of a heartbeat.
+#[wire]
+pub struct Echo {
+    /// Send time of the echoed heartbeat, on the clock of the process that sent it.
+    pub sent: Duration,
+    /// Incarnation of the process that sent it.
+    pub incarnation: u64,
+    /// Time between its receipt and the sending of this echo.
+    pub held: Duration,
+}
+
 /// Demand for one target.
 #[wire]
 pub struct DemandItem {
