Add store, VM list and target stand-ins with their contract

Entries, command line and tests need a platform to run against, and the engineers of the other packages need its interfaces in writing.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,1 +1,11 @@
 //! Small stand-ins for the platform, for tests and demonstrations.
+
+pub mod server;
+pub mod store;
+pub mod target;
+pub mod vms;
+
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Address on loopback with a port that the operating system chooses.
+pub const ANY_PORT: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
