--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,5 +1,6 @@
 //! Small stand-ins for the platform, for tests and demonstrations.
 
+pub mod load;
 pub mod server;
 pub mod store;
 pub mod target;
--- a/standin/src/target/http.rs
+++ b/standin/src/target/http.rs
@@ -20,6 +20,9 @@
 /// Default length of one piece of a generated body.
 const CHUNK_BYTES: u64 = 16 * 1024;
 
+/// Time between the first half of a body and the cut.
+const CUT_DELAY: Duration = Duration::from_millis(20);
+
 pub(super) async fn serve(addr: SocketAddr, model: Arc<Model>) -> io::Result<Server> {
     Server::start(addr, move |request| handle(model.clone(), request)).await
 }
@@ -145,6 +148,8 @@
     async fn next(pieces: Option<Self>) -> Option<(io::Result<Frame<Bytes>>, Option<Self>)> {
         let mut this = pieces?;
         if this.cut_at.is_some_and(|cut_at| this.at >= cut_at) {
+            // The server drops what it has not flushed yet, so the first half gets time to go out.
+            tokio::time::sleep(CUT_DELAY).await;
             return Some((Err(cut()), None));
         }
         if this.at > 0 && !this.pause.is_zero() {
