--- a/bundle/src/error.rs
+++ b/bundle/src/error.rs
@@ -5,8 +5,6 @@
 use lacewingmoor_derive::value;
 use quick_error::quick_error;
 
-use crate::Version;
-
 /// One thing wrong with a bundle document.
 #[value]
 #[derive(Eq)]
@@ -77,14 +75,5 @@
         PartContent(name: String, why: String) {
             display("part {name}: {why}")
         }
-        /// A stored value would be larger than the store allows.
-        TooLarge(what: String, bytes: usize, max: usize) {
-            display("{what}: {bytes} bytes, the store holds at most {max}; \
-                     split the service or shorten names")
-        }
-        /// Bundles of one version with different content.
-        Conflict(version: Version) {
-            display("version {version}: two manifests with different content")
-        }
     }
 }
--- a/bundle/src/lib.rs
+++ b/bundle/src/lib.rs
@@ -1,12 +1,14 @@
 //! The versioned, signed configuration bundle: raw YAML, checked types, parts and signatures.
 
 mod check;
+mod diff;
 mod error;
 mod model;
 mod part;
 mod raw;
 mod sign;
 
+pub use diff::{Change, diff};
 pub use error::{Error, Fault};
 pub use model::*;
 pub use part::*;
--- a/bundle/src/part.rs
+++ b/bundle/src/part.rs
@@ -1,9 +1,8 @@
 //! Parts and the manifest: how a bundle is split for distribution and put together again.
 //!
 //! A part is the compact JSON of its raw types: fields in declaration order, no maps, absent
-//! options left out. A manifest is bincode with varints behind a format byte, which takes about 50
-//! bytes a part. Digests and signatures always cover the bytes as received; nothing is re-encoded
-//! to be verified.
+//! options left out. A manifest is bincode with varints behind a format byte. Digests and
+//! signatures always cover the bytes as received; nothing is re-encoded to be verified.
 
 use bincode::config::{Configuration, Limit};
 use lacewingmoor_derive::{raw, wire};
--- a/bundle/src/sign.rs
+++ b/bundle/src/sign.rs
@@ -190,6 +190,11 @@
         Manifest::decode(&self.bytes()?)
     }
 
+    /// Returns the length in base64 of some bytes.
+    pub(crate) const fn base64_len(bytes: usize) -> usize {
+        bytes.div_ceil(3) * 4
+    }
+
     fn bytes(&self) -> Result<Vec<u8>, Error> {
         BASE64
             .decode(&self.manifest)
--- a/bundle/tests/parts.rs
+++ b/bundle/tests/parts.rs
@@ -136,3 +136,24 @@
     let error = assemble(&manifest, &parts).expect_err("damaged");
     assert!((case.error)(&error), "{error}");
 }
+
+/// Guards against differing route ids between a document and the bundle assembled from its parts.
+#[test]
+fn routes_in_any_order_assemble_to_the_same_bundle() {
+    let mut raw = RawBundle::from_yaml(SMALL).expect("valid form");
+    raw.routes.reverse();
+    let (manifest, parts) = raw.split();
+    assert_eq!(manifest, split(SMALL).0);
+    let bundle = assemble(&manifest, &by_digest(&parts)).expect("all parts");
+    assert_eq!(bundle, Bundle::try_from(raw).expect("valid"));
+}
+
+/// Guards against a manifest that grows beyond what 3,600 changes a day may cost a node.
+#[test]
+fn manifest_takes_few_bytes_a_part() {
+    let (manifest, parts) = split(SMALL);
+    let bytes = manifest.encode().len();
+    let names: usize = parts.iter().map(|p| p.name.len()).sum();
+    // Format, version and count, then 33 bytes and the name a part.
+    assert_eq!(bytes, 3 + parts.len() * 33 + names);
+}
