--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -161,8 +161,14 @@
                 .take_heartbeat(now, from, incarnation, &heartbeat, out),
             Event::Peer { .. } => {}
             Event::PeerDown { node } => self.members.peer_down(now, node),
-            Event::StoreReached => self.members.store_result(now, true),
-            Event::StoreFailed => self.members.store_result(now, false),
+            Event::StoreReached {
+                as_of,
+                version,
+                digest,
+            } => self
+                .members
+                .store_reached(now, as_of, version, &digest, out),
+            Event::StoreFailed => self.members.store_failed(now),
             Event::Probed { target, report } => {
                 if let (Some(t), Some(report)) = (self.fleet.get_mut(target), report) {
                     let sight = t.reported(now, &report);
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -146,7 +146,7 @@
         };
         entry.apply(Event::VmList(vm_list(&["e1"], &[])));
         entry.apply(Event::Bundle(Arc::new(bundle)));
-        entry.apply(Event::StoreReached);
+        entry.store_reached();
         entry
     }
 
@@ -197,6 +197,19 @@
         })
     }
 
+    /// Delivers an answer of the store that confirms the bundle in force.
+    pub fn store_reached(&mut self) -> Vec<Effect> {
+        let (version, digest) = self
+            .state
+            .bundle()
+            .map_or((0, [0; 32]), |b| (b.version, b.digest));
+        self.apply(Event::StoreReached {
+            as_of: self.now,
+            version,
+            digest,
+        })
+    }
+
     /// Lets time pass and delivers the timers that become due.
     pub fn pass(&mut self, time: Duration) -> Vec<Effect> {
         let end = self.now + time;
@@ -207,7 +220,7 @@
             self.now += MS;
         }
         self.now = self.now.max(end);
-        effects.extend(self.apply(Event::StoreReached));
+        effects.extend(self.store_reached());
         effects
     }
 }
