--- a/bundle/tests/check.rs
+++ b/bundle/tests/check.rs
@@ -308,3 +308,44 @@
         ["~ services (order): lanes billing -> billing lanes"]
     );
 }
+
+struct Example {
+    text: &'static str,
+    targets: &'static [usize],
+    slots: u32,
+    connections_max: u32,
+    run_once: &'static [&'static str],
+}
+
+/// Guards against examples that no longer pass the checks or have other sizes than the design page.
+#[rstest]
+#[case::isarbrunn(Example {
+    text: include_str!("../../examples/isarbrunn.bundle.yaml"),
+    targets: &[20, 15, 10],
+    slots: 4,
+    connections_max: 250,
+    run_once: &["book-lane", "cancel-booking", "pay"],
+})]
+#[case::pinhaus(Example {
+    text: include_str!("../../examples/pinhaus.bundle.yaml"),
+    targets: &[13, 12, 12],
+    slots: 6,
+    connections_max: 220,
+    run_once: &["order-repair", "refund"],
+})]
+fn examples_are_valid(#[case] case: Example) {
+    let bundle = Bundle::from_yaml(case.text).expect("valid");
+    assert_eq!(bundle.warnings(), []);
+    assert_eq!((bundle.regions.len(), bundle.zones.len()), (3, 6));
+    let targets: Vec<usize> = bundle.services.iter().map(|s| s.targets.len()).collect();
+    assert_eq!(targets, case.targets);
+    for service in &bundle.services {
+        assert_eq!(service.slots, case.slots);
+        assert_eq!(service.connections_max, case.connections_max);
+        let zones = (0..6).filter(|z| service.targets.iter().any(|t| t.zone == *z));
+        assert_eq!(zones.count(), 6, "{}", service.name);
+    }
+    let run_once = bundle.routes.iter().filter(|r| !r.idempotent);
+    let run_once: Vec<&str> = run_once.map(|r| r.name.as_str()).collect();
+    assert_eq!(run_once, case.run_once);
+}
