--- a/bundle/src/part.rs
+++ b/bundle/src/part.rs
@@ -212,16 +212,12 @@
         for reference in rest {
             let part: ServicePart = content(reference, parts)?;
             let name = reference.name.strip_prefix(SERVICE_PART_PREFIX);
-            if name != Some(part.service.name.as_str()) {
-                let why = format!("describes service {}", part.service.name);
-                return Err(Error::PartContent(reference.name.clone(), why));
-            }
-            if let Some(route) = part
-                .routes
-                .iter()
-                .find(|r| Some(r.service.as_str()) != name)
-            {
-                let why = format!("has a route to service {}", route.service);
+            let mut services = part.routes.iter().map(|r| &r.service);
+            if name != Some(&part.service.name) || services.any(|s| Some(s.as_str()) != name) {
+                let why = format!(
+                    "describes service {} or routes to others",
+                    part.service.name
+                );
                 return Err(Error::PartContent(reference.name.clone(), why));
             }
             bundle.services.push(part.service);
--- a/bundle/tests/parts.rs
+++ b/bundle/tests/parts.rs
@@ -1,8 +1,11 @@
 //! Splitting, signing, verifying and assembling.
 
+use base64::Engine as _;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use ed25519_dalek::{Signer as _, SigningKey};
 use lacewingmoor_bundle::{
     Bundle, Digest, Error, Manifest, Map, Part, RawBundle, SecretKey, SignedManifest, assemble,
-    check_part, part_key,
+    check_part, digest_of, part_key,
 };
 use rstest::rstest;
 
@@ -98,6 +101,16 @@
     assert!((case.error)(&error), "{error}");
 }
 
+/// Changes the part of the second service and gives it the right digest.
+fn rewrite(manifest: &mut Manifest, parts: &mut Map<Digest, Vec<u8>>, from: &str, to: &str) {
+    let old = parts.remove(&manifest.parts[2].digest).expect("part");
+    let old = String::from_utf8(old).expect("UTF-8");
+    let new = old.replacen(from, to, 1).into_bytes();
+    assert_ne!(old.as_bytes(), new);
+    manifest.parts[2].digest = digest_of(&new);
+    parts.insert(manifest.parts[2].digest, new);
+}
+
 struct Damage {
     change: fn(&mut Manifest, &mut Map<Digest, Vec<u8>>),
     error: fn(&Error) -> bool,
@@ -117,6 +130,14 @@
     change: |m, _| m.parts[1].name = "service/other".into(),
     error: |e| matches!(e, Error::PartContent(_, _)),
 })]
+#[case::other_service(Damage {
+    change: |m, parts| rewrite(m, parts, "\"name\":\"billing\"", "\"name\":\"bills\""),
+    error: |e| matches!(e, Error::PartContent(_, _)),
+})]
+#[case::route_to_another_service(Damage {
+    change: |m, parts| rewrite(m, parts, "\"service\":\"billing\"", "\"service\":\"lanes\""),
+    error: |e| matches!(e, Error::PartContent(_, _)),
+})]
 #[case::service_as_common(Damage {
     change: |m, _| m.parts[0].digest = m.parts[1].digest,
     error: |e| matches!(e, Error::PartContent(_, _)),
@@ -157,3 +178,28 @@
     // Format, version and count, then 33 bytes and the name a part.
     assert_eq!(bytes, 3 + parts.len() * 33 + names);
 }
+
+/// Guards against a changed signature format, which entries of the release before would refuse, and
+/// against two encodings, and so two digests, of one manifest.
+#[rstest]
+#[case::canonical(&[1, 7, 1, 1, b'x'], &[], true)]
+#[case::long_varint(&[1, 251, 7, 0, 1, 1, b'x'], &[], false)]
+#[case::bytes_at_the_end(&[1, 7, 1, 1, b'x'], &[0], false)]
+#[case::unknown_format(&[2, 7, 1, 1, b'x'], &[], false)]
+fn only_the_canonical_encoding_is_accepted(
+    #[case] head: &[u8],
+    #[case] tail: &[u8],
+    #[case] accepted: bool,
+) {
+    let bytes = [head, &[0; 32], tail].concat();
+    let message = [b"lacewingmoor manifest\0".as_slice(), &bytes].concat();
+    let signed = SignedManifest {
+        key_id: key(1).public().id(),
+        signature: BASE64.encode(SigningKey::from_bytes(&[1; 32]).sign(&message).to_bytes()),
+        manifest: BASE64.encode(&bytes),
+    };
+    match signed.verify(&[key(1).public()]) {
+        Ok(verified) => assert!(accepted && verified.manifest.version == 7),
+        Err(error) => assert!(!accepted && matches!(error, Error::Manifest(_)), "{error}"),
+    }
+}
--- a/cli/src/accept.rs
+++ b/cli/src/accept.rs
@@ -52,13 +52,16 @@
     let mut last = String::new();
     for attempt in 0..ATTEMPTS {
         pause(attempt).await;
-        match store.put(MANIFEST_KEY, expected, &value).await {
-            Put::Written => return Ok(How::Written),
-            Put::Conflict => conflict = true,
-            Put::Lost(why) => lost = Some(why),
-            Put::NotWritten(why) => {
-                last = why;
-                continue;
+        // After a conflict the revision has moved on, so only reading can tell more.
+        if !conflict {
+            match store.put(MANIFEST_KEY, expected, &value).await {
+                Put::Written => return Ok(How::Written),
+                Put::Conflict => conflict = true,
+                Put::Lost(why) => lost = Some(why),
+                Put::NotWritten(why) => {
+                    last = why;
+                    continue;
+                }
             }
         }
         match store.manifest().await {
