--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -1,13 +1,15 @@
 //! The control thread: owns the reducer's state and hands effects to the rest of the process.
 
-use std::collections::VecDeque;
-use std::sync::mpsc;
+use std::sync::{Arc, mpsc};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lacewingmoor_bundle::Map;
+use arc_swap::ArcSwapOption;
+use lacewingmoor_bundle::{Bundle, Map};
 use lacewingmoor_control::{Arrival, Attempt, Dispatch, Effect, Event, Refusal, RequestId, State};
-use tokio::sync::mpsc as async_mpsc;
+use tokio::sync::{mpsc as async_mpsc, oneshot};
+
+use crate::log::DecisionLog;
 
 /// What the traffic side is told about one request.
 #[derive(Debug)]
@@ -23,10 +25,13 @@
 /// Commands of one request.
 pub type Commands = async_mpsc::UnboundedReceiver<Command>;
 
+type Query = Box<dyn FnOnce(&State, Duration) + Send>;
+
 enum Input {
     Arrived(Arrival, async_mpsc::UnboundedSender<Command>),
     Finished(RequestId),
     Event(Event),
+    Query(Query),
 }
 
 /// Sends events to the control thread.
@@ -34,6 +39,7 @@
 pub struct Control {
     inputs: mpsc::Sender<Input>,
     start: Instant,
+    bundle: Arc<ArcSwapOption<Bundle>>,
 }
 
 impl Control {
@@ -42,6 +48,16 @@
         self.start.elapsed()
     }
 
+    /// Converts a time of the reducer to the runtime's clock.
+    pub fn instant(&self, at: Duration) -> Instant {
+        self.start + at
+    }
+
+    /// Returns the bundle in force.
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.bundle.load_full()
+    }
+
     /// Announces a request and returns the commands for it.
     pub fn arrive(&self, arrival: Arrival) -> Commands {
         let (commands, receiver) = async_mpsc::unbounded_channel();
@@ -59,77 +75,131 @@
         self.input(Input::Event(event));
     }
 
+    /// Runs a function on the reducer's state and returns its result, or `None` if the control
+    /// thread has ended.
+    pub async fn query<T: Send + 'static>(
+        &self,
+        read: impl FnOnce(&State, Duration) -> T + Send + 'static,
+    ) -> Option<T> {
+        let (sender, receiver) = oneshot::channel();
+        self.input(Input::Query(Box::new(move |state, now| {
+            let _ = sender.send(read(state, now));
+        })));
+        receiver.await.ok()
+    }
+
     fn input(&self, input: Input) {
         // The control thread only ends with the process, so a closed channel is not an error.
         let _ = self.inputs.send(input);
     }
 }
 
-/// Starts the control thread. Effects that do not concern a single request go to `effects`.
+/// Starts the control thread. Decisions go to `decisions`, all other effects that do not concern
+/// a single request to `effects`.
 ///
 /// # Panics
 ///
 /// Panics if the operating system cannot start a thread.
-pub fn start(state: State, effects: async_mpsc::UnboundedSender<Effect>) -> Control {
+pub fn start(
+    state: State,
+    effects: async_mpsc::UnboundedSender<Effect>,
+    decisions: DecisionLog,
+) -> Control {
     let (inputs, receiver) = mpsc::channel();
     let start = Instant::now();
+    let bundle = Arc::new(ArcSwapOption::from(state.bundle().cloned()));
+    let thread = Thread {
+        state,
+        start,
+        requests: Map::default(),
+        bundle: bundle.clone(),
+        effects,
+        decisions,
+    };
     thread::Builder::new()
         .name("control".into())
-        .spawn(move || run(state, &receiver, start, &effects))
+        .spawn(move || thread.run(&receiver))
         .expect("the control thread starts");
-    Control { inputs, start }
+    Control {
+        inputs,
+        start,
+        bundle,
+    }
 }
 
-fn run(
-    mut state: State,
-    inputs: &mpsc::Receiver<Input>,
+struct Thread {
+    state: State,
     start: Instant,
-    effects: &async_mpsc::UnboundedSender<Effect>,
-) {
-    let mut requests: Map<RequestId, async_mpsc::UnboundedSender<Command>> = Map::default();
-    loop {
-        let input = match state.next_wakeup() {
-            None => inputs
-                .recv()
-                .map_err(|_| mpsc::RecvTimeoutError::Disconnected),
-            Some(at) => inputs.recv_timeout(at.saturating_sub(start.elapsed())),
-        };
-        let event = match input {
-            Ok(Input::Arrived(arrival, commands)) => {
-                requests.insert(arrival.request, commands);
-                Event::Arrived(arrival)
-            }
-            Ok(Input::Finished(request)) => {
-                requests.remove(&request);
-                continue;
+    requests: Map<RequestId, async_mpsc::UnboundedSender<Command>>,
+    bundle: Arc<ArcSwapOption<Bundle>>,
+    effects: async_mpsc::UnboundedSender<Effect>,
+    decisions: DecisionLog,
+}
+
+impl Thread {
+    fn run(mut self, inputs: &mpsc::Receiver<Input>) {
+        loop {
+            let input = match self.state.next_wakeup() {
+                None => inputs
+                    .recv()
+                    .map_err(|_| mpsc::RecvTimeoutError::Disconnected),
+                Some(at) => self.wait(inputs, at),
+            };
+            match input {
+                Ok(Input::Arrived(arrival, commands)) => {
+                    self.requests.insert(arrival.request, commands);
+                    self.apply(Event::Arrived(arrival));
+                }
+                Ok(Input::Finished(request)) => {
+                    self.requests.remove(&request);
+                }
+                Ok(Input::Event(event)) => {
+                    let bundle = matches!(event, Event::Bundle(_));
+                    self.apply(event);
+                    if bundle {
+                        self.bundle.store(self.state.bundle().cloned());
+                    }
+                }
+                Ok(Input::Query(query)) => query(&self.state, self.start.elapsed()),
+                Err(mpsc::RecvTimeoutError::Timeout) => self.apply(Event::Tick),
+                Err(mpsc::RecvTimeoutError::Disconnected) => return,
             }
-            Ok(Input::Event(event)) => event,
-            Err(mpsc::RecvTimeoutError::Timeout) => Event::Tick,
-            Err(mpsc::RecvTimeoutError::Disconnected) => return,
-        };
-        let mut todo = VecDeque::from(state.apply(start.elapsed(), event));
-        while let Some(effect) = todo.pop_front() {
+        }
+    }
+
+    /// Waits for the next input, but not past `at`. A due timer goes first, so that a steady
+    /// stream of requests cannot delay it.
+    fn wait(
+        &self,
+        inputs: &mpsc::Receiver<Input>,
+        at: Duration,
+    ) -> Result<Input, mpsc::RecvTimeoutError> {
+        match at.saturating_sub(self.start.elapsed()) {
+            Duration::ZERO => Err(mpsc::RecvTimeoutError::Timeout),
+            left => inputs.recv_timeout(left),
+        }
+    }
+
+    fn apply(&mut self, event: Event) {
+        for effect in self.state.apply(self.start.elapsed(), event) {
             match effect {
-                Effect::Dispatch(d) => command(&requests, d.request, Command::Dispatch(d)),
+                Effect::Dispatch(d) => self.command(d.request, Command::Dispatch(d)),
                 Effect::Cancel { request, attempt } => {
-                    command(&requests, request, Command::Cancel(attempt));
+                    self.command(request, Command::Cancel(attempt));
                 }
-                Effect::Refuse(r) => command(&requests, r.request, Command::Refuse(r)),
+                Effect::Refuse(r) => self.command(r.request, Command::Refuse(r)),
+                Effect::Log(decision) => self.decisions.write(decision),
                 other => {
-                    let _ = effects.send(other);
+                    let _ = self.effects.send(other);
                 }
             }
         }
     }
-}
 
-/// Passes a command on. A request whose caller has gone has no receiver left.
-fn command(
-    requests: &Map<RequestId, async_mpsc::UnboundedSender<Command>>,
-    request: RequestId,
-    command: Command,
-) {
-    if let Some(sender) = requests.get(&request) {
-        let _ = sender.send(command);
+    /// Passes a command on. A request whose caller has gone has no receiver left.
+    fn command(&self, request: RequestId, command: Command) {
+        if let Some(sender) = self.requests.get(&request) {
+            let _ = sender.send(command);
+        }
     }
 }
