--- a/entry/src/effects.rs
+++ b/entry/src/effects.rs
@@ -29,7 +29,7 @@
 /// Runs until the control thread ends. `platform` is `None` in tests of the data path.
 pub async fn run(
     mut effects: mpsc::UnboundedReceiver<Effect>,
-    mut platform: Option<Platform>,
+    platform: Option<Platform>,
     readiness: Readiness,
     log: Logger,
 ) {
@@ -58,7 +58,7 @@
             | Effect::ReadStore
             | Effect::FetchBundle { .. }
             | Effect::Peers(_)) => {
-                if let Some(platform) = &mut platform {
+                if let Some(platform) = &platform {
                     platform.handle(other);
                 }
             }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -23,7 +23,7 @@
 use crate::error::Error;
 use crate::log::{self, DecisionLog, Pipeline};
 use crate::metrics;
-use crate::platform::Platform;
+use crate::platform::{Platform, PlatformSetup};
 use crate::settings::Settings;
 
 /// Longest head that the server reads before the bundle's own limit is applied.
@@ -100,11 +100,38 @@
 ///
 /// Returns an error if the process cannot start.
 pub fn run(settings: Settings) -> Result<(), Error> {
+    run_with(settings, |settings, control, incarnation, log| {
+        let setup = PlatformSetup {
+            node: lacewingmoor_bundle::node_id(&settings.node),
+            incarnation,
+            peer: settings.peer,
+            store: settings.store,
+            vm_list: settings.vm_list,
+            operators: settings.operator_keys.clone(),
+            fleet_key: settings.fleet_key,
+            seed: settings.seed,
+        };
+        Platform::start(setup, Arc::new(control.clone()), log)
+            .map(Some)
+            .map_err(|e| Error::Listen("peers", settings.peer, e))
+    })
+}
+
+/// Runs the process with a platform side that `start_platform` builds from settings, control
+/// thread, incarnation and log. Tests of the data path build none and feed the bundle themselves.
+///
+/// # Errors
+///
+/// Returns an error if the process cannot start.
+pub fn run_with(
+    settings: Settings,
+    start_platform: impl FnOnce(&Settings, &Control, u64, &Logger) -> Result<Option<Platform>, Error>,
+) -> Result<(), Error> {
     let recorder = metrics::install();
     let pipeline = Pipeline::start(std::io::stderr(), log::QUEUE_LINES);
     let logger = log::logger(&pipeline, settings.log_level, &settings.node);
     let runtime = tokio::runtime::Runtime::new().map_err(|e| Error::Start("the runtime", e))?;
-    let result = runtime.block_on(serve(settings, recorder, &pipeline, logger));
+    let result = runtime.block_on(serve(settings, recorder, &pipeline, logger, start_platform));
     pipeline.flush(LOG_FLUSH_MAX);
     // Tasks that are left only wait for timers, peers or the store.
     runtime.shutdown_background();
@@ -116,6 +143,7 @@
     recorder: metrics_exporter_prometheus::PrometheusHandle,
     pipeline: &Pipeline,
     logger: Logger,
+    start_platform: impl FnOnce(&Settings, &Control, u64, &Logger) -> Result<Option<Platform>, Error>,
 ) -> Result<(), Error> {
     let mut terminate = signals(SignalKind::terminate())?;
     let mut interrupt = signals(SignalKind::interrupt())?;
@@ -131,10 +159,10 @@
     let state = State::new(settings.setup(incarnation));
     let control = control::start(state, effects, decisions);
     let readiness = Readiness::default();
-    let platform = Platform::start(&settings, &control, &logger);
+    let platform = start_platform(&settings, &control, incarnation, &logger)?;
     tokio::spawn(effects::run(
         received,
-        Some(platform),
+        platform,
         readiness.clone(),
         logger.clone(),
     ));
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -10,10 +10,9 @@
 use http::{Method, Response, StatusCode, Uri, Version};
 use hyper::body::Incoming;
 use lacewingmoor_control::{
-    Arrival, Attempt, Dispatch, Event, Fate, LoadReport, Outcome, Reason, Refusal, RequestId,
+    Arrival, Attempt, Dispatch, Event, Fate, LoadReport, Outcome, Refusal, RequestId,
 };
 use salvo::http::ResBody;
-use tokio::time::Sleep;
 
 use crate::answer::{Answer, Exchange, TargetBody, own, refusal};
 use crate::body::{BodyFault, RequestBody};
@@ -49,7 +48,6 @@
 enum Step {
     Command(Option<Command>),
     Ended(usize, Result<Head, Failure>),
-    Deadline,
 }
 
 /// Runs a request and returns the answer for the caller.
@@ -62,7 +60,6 @@
         commands: shared.control.arrive(arrival),
         outgoing: Arc::new(outgoing),
         running: Vec::with_capacity(2),
-        deadline: None,
         sent: false,
         over: false,
     };
@@ -83,7 +80,6 @@
                     return answer;
                 }
             }
-            Step::Deadline => return request.timed_out(),
         }
     }
 }
@@ -94,7 +90,6 @@
     commands: Commands,
     outgoing: Arc<Outgoing>,
     running: Vec<Running>,
-    deadline: Option<Pin<Box<Sleep>>>,
     /// True once an attempt may have written a byte.
     sent: bool,
     /// True once the request needs no more bookkeeping when it is dropped.
@@ -102,8 +97,8 @@
 }
 
 impl Request {
-    /// Waits for the next thing to handle. An answer goes before commands and the deadline, so
-    /// that an answer that is there is not thrown away.
+    /// Waits for the next thing to handle. An answer goes before commands, so that an answer that
+    /// is there is not thrown away. The reducer keeps the deadline.
     async fn step(&mut self) -> Step {
         poll_fn(|cx| {
             for (index, running) in self.running.iter_mut().enumerate() {
@@ -114,22 +109,12 @@
             if let Poll::Ready(command) = self.commands.poll_recv(cx) {
                 return Poll::Ready(Step::Command(command));
             }
-            if let Some(deadline) = &mut self.deadline
-                && deadline.as_mut().poll(cx).is_ready()
-            {
-                return Poll::Ready(Step::Deadline);
-            }
             Poll::Pending
         })
         .await
     }
 
     fn dispatch(&mut self, dispatch: Dispatch) {
-        let control = &self.shared.control;
-        if self.deadline.is_none() {
-            let at = control.instant(dispatch.deadline);
-            self.deadline = Some(Box::pin(tokio::time::sleep_until(at.into())));
-        }
         self.outgoing.body.limit(dispatch.body_bytes_max);
         self.shared.metrics.attempts.increment(1);
         self.running.push(Running {
@@ -153,16 +138,18 @@
                         .get(REQUEST_NOT_RUN)
                         .is_some_and(|v| v == "true");
                 let report = self.report(&head.response);
+                if shed {
+                    // A head event would make this attempt the answer of the request.
+                    drop(head);
+                    self.send_ended(attempt, Outcome::Shed);
+                    return None;
+                }
                 self.shared.control.send(Event::Head {
                     request: self.id,
                     attempt,
                     status: head.response.status().as_u16(),
                     report,
                 });
-                if shed {
-                    self.send_ended(attempt, Outcome::Shed);
-                    return None;
-                }
                 Some(self.pass_on(attempt, head))
             }
             Err(outcome) => {
@@ -215,22 +202,17 @@
             BodyFault::Consumed => return None,
         };
         let sent = self.sent || outcome == Outcome::Broken || !self.running.is_empty();
-        self.send_ended(attempt, Outcome::Cancelled);
         let fate = if sent { Fate::Unknown } else { Fate::NotRun };
-        Some(self.give_up(status, fate, reason))
+        let answer = self.give_up(status, fate, reason);
+        self.send_ended(attempt, Outcome::Cancelled);
+        Some(answer)
     }
 
     fn refuse(&mut self, refused: &Refusal) -> Answer {
-        self.cancel_all();
         self.finish(false);
         refusal(refused)
     }
 
-    fn timed_out(&mut self) -> Answer {
-        let (status, reason) = crate::answer::reason_name(Reason::Timeout);
-        self.give_up(status, Fate::Unknown, reason)
-    }
-
     fn control_lost(&mut self) -> Answer {
         let fate = if self.sent || !self.running.is_empty() {
             Fate::Unknown
@@ -242,7 +224,6 @@
 
     /// Ends the request without the reducer having asked for it.
     fn give_up(&mut self, status: StatusCode, fate: Fate, reason: &'static str) -> Answer {
-        self.cancel_all();
         self.finish(true);
         own(status, fate, reason, self.id, None)
     }
@@ -273,15 +254,19 @@
         });
     }
 
+    /// Ends the request. With `tell` the reducer learns that no answer is wanted any more; it has
+    /// to know that before the attempts end, or it would start others.
     fn finish(&mut self, tell: bool) {
-        if !std::mem::replace(&mut self.over, true) {
-            if tell {
-                let request = self.id;
-                self.shared.control.send(Event::CallerGone { request });
-            }
-            self.shared.control.finish(self.id);
-            self.shared.metrics.in_flight.decrement(1.0);
+        if std::mem::replace(&mut self.over, true) {
+            return;
         }
+        let request = self.id;
+        if tell {
+            self.shared.control.send(Event::CallerGone { request });
+        }
+        self.cancel_all();
+        self.shared.control.finish(request);
+        self.shared.metrics.in_flight.decrement(1.0);
     }
 }
 
@@ -289,7 +274,6 @@
     fn drop(&mut self) {
         if !self.over {
             self.shared.metrics.caller_gone.increment(1);
-            self.cancel_all();
             self.finish(true);
         }
     }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -6,7 +6,7 @@
 
 use base64::Engine as _;
 use base64::engine::general_purpose::STANDARD;
-use ed25519_dalek::VerifyingKey;
+use lacewingmoor_bundle::PublicKey;
 use lacewingmoor_control::{Policy, Setup};
 use lacewingmoor_derive::value;
 use serde::Deserialize;
@@ -89,7 +89,7 @@
     /// Address of the VM list.
     pub vm_list: SocketAddr,
     /// Keys that may sign bundles.
-    pub operator_keys: Vec<VerifyingKey>,
+    pub operator_keys: Vec<PublicKey>,
     /// Key that peers authenticate each other with.
     pub fleet_key: [u8; 32],
     /// Choice of targets.
@@ -193,15 +193,9 @@
             check.add("operator_keys: at least one key is needed".into());
         }
         for (i, text) in raw.operator_keys.iter().enumerate() {
-            let field = format!("operator_keys[{i}]");
-            let before = check.errors.len();
-            let bytes = check.key(&field, text);
-            match VerifyingKey::from_bytes(&bytes) {
+            match PublicKey::from_base64(text) {
                 Ok(key) => operator_keys.push(key),
-                Err(_) if check.errors.len() == before => {
-                    check.add(format!("{field}: is not an ed25519 public key"));
-                }
-                Err(_) => {}
+                Err(error) => check.add(format!("operator_keys[{i}]: {error}")),
             }
         }
         let unready_ms = raw.unready_ms.unwrap_or(UNREADY_MS_DEFAULT);
