--- a/entry/src/bundle_sync.rs
+++ b/entry/src/bundle_sync.rs
@@ -26,7 +26,7 @@
 
 /// Time within which a version must be fetched with all its parts, so that a source that answers
 /// slowly gives way to another one.
-pub const FETCH_TIMEOUT: Duration = Duration::from_secs(3);
+pub const FETCH_TIMEOUT: Duration = Duration::from_secs(5);
 
 quick_error! {
     /// Why a bundle version was not fetched.
@@ -292,6 +292,12 @@
         &*self.events
     }
 
+    /// Tells the reducer that a store call is not answered in time.
+    pub fn store_slow(&self) {
+        counter!("lacewingmoor_store_slow_total").increment(1);
+        self.events.send(Event::StoreFailed);
+    }
+
     /// Tells the reducer that a store call failed.
     pub fn store_failed(&self, error: &store::Error) {
         debug!(self.log, "store call failed"; "error" => %error);
--- a/entry/src/store.rs
+++ b/entry/src/store.rs
@@ -14,9 +14,12 @@
 pub use crate::http_get::Error;
 use crate::http_get::{client, fetch};
 
-/// Time within which a read must be answered. It is well below `FRESH_MAX`, so that a slow store
-/// is noticed while peers can still confirm the bundle.
-pub const CALL_TIMEOUT: Duration = Duration::from_millis(700);
+/// Time within which a call must be answered. A slow store still delivers new versions until then,
+/// although its answers are too old to confirm one.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Time within which the store must accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Revision of a key; 0 stands for a key that does not exist.
 pub type Revision = u64;
@@ -61,7 +64,7 @@
     /// Returns the error of the HTTP library.
     pub fn new(addr: SocketAddr) -> Result<Self, reqwest::Error> {
         Ok(Self {
-            client: client(CALL_TIMEOUT)?,
+            client: client(CONNECT_TIMEOUT)?,
             base: format!("http://{addr}/v1/kv/"),
         })
     }
