--- a/control/src/membership.rs
+++ b/control/src/membership.rs
@@ -29,9 +29,10 @@
 /// Time without a newer confirmation after which an entry reads the store itself.
 pub const QUIET_MAX: Duration = Duration::from_millis(1000);
 
-/// Age of a confirmation at which an entry reads the store itself. A read that fails at this age
-/// is known to peers before the confirmation reaches `FRESH_MAX`.
-const READ_AGE: Duration = Duration::from_millis(1500);
+/// Age of a confirmation at which an entry reads the store itself. Rule (c) needs the word of every
+/// entry of the store's region, so a read that times out must be known to peers before the
+/// confirmation reaches `FRESH_MAX`. Without faults, confirmations get about 1.1 s old.
+const READ_AGE: Duration = Duration::from_millis(1300);
 
 /// Time over which reads of different entries are spread.
 const READ_JITTER_MS: u64 = 100;
@@ -84,8 +85,6 @@
     watching: bool,
     read_at: Option<Duration>,
     read_last: Option<Duration>,
-    /// True if `read_at` must not be put off by a newer confirmation.
-    read_urgent: bool,
     read_pause: Duration,
     fetch: Fetch,
     heartbeat_at: Duration,
@@ -116,7 +115,6 @@
             watching: false,
             read_at: None,
             read_last: None,
-            read_urgent: false,
             read_pause: READ_PAUSE_MIN,
             fetch: Fetch::default(),
             heartbeat_at: Duration::ZERO,
@@ -235,10 +233,6 @@
         if let Some(at) = self.told(&peer) {
             self.confirm(now, at);
         }
-        if heartbeat.store_down && self.store == StoreState::Reached && self.in_store_region() {
-            // Rule (c) needs the word of every entry here before the confirmation is too old.
-            self.read_soon(now);
-        }
         self.peers.insert(from, peer);
         self.settle(now, out);
     }
--- a/control/src/membership/due.rs
+++ b/control/src/membership/due.rs
@@ -7,7 +7,7 @@
 use super::peer::{Fetch, Peer};
 use super::{
     FIRST_READ_MAX, FRESH_MAX, HEARTBEAT_MS, ISOLATED, Membership, QUIET_MAX, READ_AGE,
-    READ_JITTER_MS, READ_PAUSE_MAX, READ_PAUSE_MIN, StoreState,
+    READ_JITTER_MS, READ_PAUSE_MAX, StoreState,
 };
 use crate::{DecisionKind, Effect, Heartbeat, Message};
 
@@ -56,7 +56,7 @@
         };
         match self.read_at {
             // A read for an old confirmation is put off when a newer one arrives.
-            Some(at) if !self.read_urgent && due > at + Duration::from_millis(READ_JITTER_MS) => {
+            Some(at) if due > at + Duration::from_millis(READ_JITTER_MS) => {
                 self.read_at = Some(due + self.jitter());
             }
             Some(at) if now >= at => self.read_store(now, out),
@@ -71,22 +71,10 @@
             self.read_pause = (self.read_pause * 2).min(READ_PAUSE_MAX);
         }
         self.read_last = Some(now);
-        self.read_urgent = false;
         self.read_at = Some(now + self.read_pause + self.jitter());
         out.push(Effect::ReadStore);
     }
 
-    pub(super) fn read_soon(&mut self, now: Duration) {
-        let aging = self.confirmed.is_none_or(|at| now >= at + READ_AGE / 2);
-        let since = |last| now < last + READ_PAUSE_MIN / 2;
-        if self.watching || self.read_urgent || self.read_last.is_some_and(since) || !aging {
-            return;
-        }
-        let soon = now + self.jitter();
-        self.read_at = Some(self.read_at.map_or(soon, |at| at.min(soon)));
-        self.read_urgent = true;
-    }
-
     pub(super) fn jitter(&mut self) -> Duration {
         Duration::from_millis(self.rng.random_range(0..READ_JITTER_MS))
     }
--- a/control/src/membership/freshness.rs
+++ b/control/src/membership/freshness.rs
@@ -15,11 +15,6 @@
         bundle.map_or((0, Digest::default()), |b| (b.version, b.digest))
     }
 
-    pub(super) fn in_store_region(&self) -> bool {
-        let bundle = self.bundle.as_ref();
-        bundle.is_some_and(|b| b.regions[b.store_region].name == self.region)
-    }
-
     /// Returns a time on the own clock at or before which a heartbeat was made. The echoed time of
     /// sending bounds it from below whatever delayed the heartbeat; without an echo it is unknown.
     pub(super) fn made_at(&self, now: Duration, heartbeat: &Heartbeat) -> Option<Duration> {
