--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -23,7 +23,7 @@
 use crate::error::Error;
 use crate::log::{self, DecisionLog, Pipeline};
 use crate::metrics;
-use crate::platform::{Platform, PlatformSetup};
+use crate::platform::Platform;
 use crate::settings::Settings;
 
 /// Longest head that the server reads before the bundle's own limit is applied.
@@ -101,17 +101,7 @@
 /// Returns an error if the process cannot start.
 pub fn run(settings: Settings) -> Result<(), Error> {
     run_with(settings, |settings, control, incarnation, log| {
-        let setup = PlatformSetup {
-            node: lacewingmoor_bundle::node_id(&settings.node),
-            incarnation,
-            peer: settings.peer,
-            store: settings.store,
-            vm_list: settings.vm_list,
-            operators: settings.operator_keys.clone(),
-            fleet_key: settings.fleet_key,
-            seed: settings.seed,
-        };
-        Platform::start(setup, Arc::new(control.clone()), log)
+        Platform::start(settings, incarnation, control, log)
             .map(Some)
             .map_err(|e| Error::Listen("peers", settings.peer, e))
     })
