Add the harness for real entry processes, and precise service times

The harness starts store, VM list, targets and entries, keeps the ports of stopped processes reserved, and kills its children when dropped. A bound socket that does not listen holds a port: a port that is only released before the start can go to an outgoing connection in between, and the entry then fails to bind. The start of entries and the operator's commands have not been run yet, because the binaries do not exist.

Targets now sleep on a timer thread. The runtime's timer rounds up to the next millisecond, which lowers the capacity of targets with 10 ms service time by several percent.

--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -1,9 +1,12 @@
 //! Small stand-ins for the platform, for tests and demonstrations.
 
+pub mod harness;
 pub mod load;
+pub mod ports;
 pub mod server;
 pub mod store;
 pub mod target;
+pub mod timer;
 pub mod vms;
 
 use std::net::{Ipv4Addr, SocketAddr};
--- a/standin/src/load/mod.rs
+++ b/standin/src/load/mod.rs
@@ -37,6 +37,8 @@
     pub body_bytes: Option<usize>,
     /// Length of the body that the target is asked to generate; `None` for an echo.
     pub answer_bytes: Option<u64>,
+    /// Address to use instead of one of the front.
+    pub addr: Option<SocketAddr>,
 }
 
 impl Kind {
@@ -50,6 +52,7 @@
             weight: 1,
             body_bytes: None,
             answer_bytes: None,
+            addr: None,
         }
     }
 }
@@ -216,7 +219,8 @@
             return;
         }
         let kind = pick_kind(&plan.kinds, rng.random());
-        let addr = front.pick(rng.random());
+        let random = rng.random();
+        let addr = plan.kinds[kind].addr.or_else(|| front.pick(random));
         let work = Work {
             id: format!("{}-{number}", plan.id_prefix),
             number: kind,
--- a/standin/src/target/http.rs
+++ b/standin/src/target/http.rs
@@ -13,6 +13,7 @@
 
 use super::model::{Job, Model, Report};
 use crate::server::{Body, Reply, Server, answer, cut, full, json, query, query_number, read_body};
+use crate::timer;
 
 /// Longest request body in bytes.
 const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
@@ -51,7 +52,7 @@
 async fn probe(model: &Model) -> Reply {
     model.count_probe();
     let _slot = model.slots().acquire().await.map_err(io::Error::other)?;
-    tokio::time::sleep(Duration::from_millis(model.settings().probe_ms)).await;
+    timer::sleep(Duration::from_millis(model.settings().probe_ms)).await;
     match model.report() {
         Some(report) => json(&report),
         None => Ok(answer(StatusCode::NOT_FOUND, "no load report\n")),
--- a/standin/src/target/mod.rs
+++ b/standin/src/target/mod.rs
@@ -15,6 +15,7 @@
 pub use self::http::{fill_pattern, pattern_key};
 use self::model::Model;
 pub use self::model::{Counts, Run, State};
+use crate::ports::Reserved;
 use crate::server::Server;
 
 /// Distribution of service times around their mean.
@@ -130,6 +131,7 @@
     addr: SocketAddr,
     server: Option<Server>,
     model: Arc<Model>,
+    _port: Option<Reserved>,
 }
 
 impl Target {
@@ -140,11 +142,15 @@
     /// Returns the error of binding the address.
     pub async fn start(addr: SocketAddr, settings: Settings) -> io::Result<Self> {
         let model = Arc::new(Model::new(settings));
+        // Keeps the port while the target is down, so that it can come back.
+        let port = (addr.port() == 0).then(Reserved::new).transpose()?;
+        let addr = port.as_ref().map_or(addr, Reserved::addr);
         let server = http::serve(addr, model.clone()).await?;
         Ok(Self {
             addr: server.addr(),
             server: Some(server),
             model,
+            _port: port,
         })
     }
 
@@ -207,7 +213,17 @@
         });
     }
 
-    /// Returns the counts since the first start.
+    /// Lets the seeded times of stalls begin now.
+    pub fn restart_stalls(&self) {
+        self.model.restart_stalls();
+    }
+
+    /// Sets the counts to zero, apart from the requests that are here now.
+    pub fn reset_counts(&self) {
+        self.model.reset_counts();
+    }
+
+    /// Returns the counts since the first start or the last reset.
     pub fn counts(&self) -> Counts {
         self.model.counts()
     }
--- a/standin/src/target/model.rs
+++ b/standin/src/target/model.rs
@@ -11,6 +11,7 @@
 
 use super::stall::Stalls;
 use super::{Change, Distribution, Reports, Settings, pattern_key};
+use crate::timer;
 
 /// State that a target reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -193,6 +194,25 @@
         self.note(&mut inner);
     }
 
+    /// Lets the seeded times of stalls begin now.
+    pub(super) fn restart_stalls(&self) {
+        self.lock().started = Instant::now();
+    }
+
+    /// Sets the counts to zero, apart from what is there now.
+    pub(super) fn reset_counts(&self) {
+        let mut inner = self.lock();
+        let Counts {
+            running, waiting, ..
+        } = inner.counts;
+        inner.counts = Counts {
+            running,
+            waiting,
+            most: running + waiting,
+            ..Counts::default()
+        };
+    }
+
     pub(super) fn counts(&self) -> Counts {
         self.lock().counts
     }
@@ -323,7 +343,7 @@
     pub(super) async fn begin(&mut self, slot: OwnedSemaphorePermit, fixed: Option<Duration>) {
         self.slot = Some(slot);
         let time = self.start(fixed);
-        tokio::time::sleep(time).await;
+        timer::sleep(time).await;
     }
 
     fn start(&mut self, fixed: Option<Duration>) -> Duration {
--- a/standin/tests/standins.rs
+++ b/standin/tests/standins.rs
@@ -4,6 +4,7 @@
 
 use lacewingmoor_standin::ANY_PORT;
 use lacewingmoor_standin::load::{Driver, Front, Kind, Outcome, Plan};
+use lacewingmoor_standin::ports::Reserved;
 use lacewingmoor_standin::store::{Store, StoreFaults};
 use lacewingmoor_standin::target::{Change, Distribution, Reports, Settings, State, Target};
 use lacewingmoor_standin::vms::{Role, Vm, VmList, VmListChange, VmState};
@@ -222,3 +223,19 @@
         report.offered() - 8
     );
 }
+
+/// Guards against a reserved port that goes to someone else or that its owner cannot use.
+#[tokio::test]
+async fn reserved_port() {
+    let reserved = Reserved::new().unwrap();
+    for _ in 0..2 {
+        let listener = tokio::net::TcpListener::bind(reserved.addr())
+            .await
+            .unwrap();
+        tokio::net::TcpStream::connect(listener.local_addr().unwrap())
+            .await
+            .unwrap();
+    }
+    let refused = tokio::net::TcpStream::connect(reserved.addr()).await;
+    assert!(refused.is_err());
+}
