--- a/standin/src/harness/mod.rs
+++ b/standin/src/harness/mod.rs
@@ -5,6 +5,7 @@
 mod error;
 mod fleet;
 mod operator;
+mod preset;
 mod process;
 
 pub use self::bundle::{BundleSpec, Probe, Route, Service};
@@ -12,4 +13,5 @@
 pub use self::error::Error;
 pub use self::fleet::{Fleet, FleetTarget};
 pub use self::operator::Operator;
+pub use self::preset::mix;
 pub use self::process::{Exit, Process, binary};
--- a/standin/src/load/report.rs
+++ b/standin/src/load/report.rs
@@ -91,6 +91,15 @@
         (answered, sum(&mut self.samples.iter()))
     }
 
+    /// Returns the latencies of answered requests.
+    pub fn answered_latencies(&self) -> impl Iterator<Item = Duration> {
+        let answered = self
+            .samples
+            .iter()
+            .filter(|s| s.outcome == Outcome::Answered);
+        answered.map(|s| s.latency)
+    }
+
     /// Returns the latency quantiles of answered requests.
     pub fn quantiles(&self) -> Quantiles {
         self.quantiles_between(Duration::ZERO, Duration::MAX)
