--- a/entry/src/platform.rs
+++ b/entry/src/platform.rs
@@ -6,7 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use lacewingmoor_bundle::{NodeId, PublicKey, TargetId};
+use lacewingmoor_bundle::{NodeId, TargetId, node_id};
 use lacewingmoor_control::{Effect, Event};
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -15,10 +15,12 @@
 use tokio::task::{AbortHandle, JoinHandle};
 
 use crate::bundle_sync::{BundleSync, Library};
+use crate::control::Control;
 use crate::events::Events;
 use crate::peer::{Links, Local};
 use crate::peer_auth::{FleetKey, Identity};
 use crate::peer_listen::{self, Listener};
+use crate::settings::Settings;
 use crate::store::HttpStore;
 use crate::vm_list::HttpVmList;
 use crate::{http_get, probe, store_watch, vm_list};
@@ -26,26 +28,6 @@
 /// Time within which a probe must connect, at most.
 const PROBE_CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// What the platform side is built with.
-pub struct PlatformSetup {
-    /// Id of this entry.
-    pub node: NodeId,
-    /// Start of this process.
-    pub incarnation: u64,
-    /// Address of the peer listener.
-    pub peer: SocketAddr,
-    /// Address of the store.
-    pub store: SocketAddr,
-    /// Address of the VM list.
-    pub vm_list: SocketAddr,
-    /// Keys whose signatures are accepted on manifests.
-    pub operators: Vec<PublicKey>,
-    /// Secret shared by all entries.
-    pub fleet_key: [u8; 32],
-    /// Seed of jitter.
-    pub seed: u64,
-}
-
 /// Carries out the reducer's effects on store, peers and probes.
 pub struct Platform {
     sync: Arc<BundleSync>,
@@ -74,28 +56,32 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if the peer address cannot be bound.
-    pub fn start(setup: PlatformSetup, events: Arc<dyn Events>, log: &Logger) -> io::Result<Self> {
-        let tcp = std::net::TcpListener::bind(setup.peer)?;
+    /// Returns an error if the peer address cannot be bound or a client cannot be built.
+    pub fn start(
+        settings: &Settings,
+        incarnation: u64,
+        control: &Control,
+        log: &Logger,
+    ) -> io::Result<Self> {
+        let node = node_id(&settings.node);
+        let events: Arc<dyn Events> = Arc::new(control.clone());
+        let tcp = std::net::TcpListener::bind(settings.peer)?;
         tcp.set_nonblocking(true)?;
         let tcp = TcpListener::from_std(tcp)?;
         let local = Local {
-            own: Identity {
-                node: setup.node,
-                incarnation: setup.incarnation,
-            },
-            fleet_key: FleetKey::new(setup.fleet_key),
+            own: Identity { node, incarnation },
+            fleet_key: FleetKey::new(settings.fleet_key),
         };
-        let seed = setup.seed ^ setup.node;
+        let seed = settings.seed ^ node;
         let library = Library::default();
         let links = Arc::new(Links::new(local.clone(), seed, log.clone()));
-        let store = HttpStore::new(setup.store).map_err(io::Error::other)?;
-        let list = HttpVmList::new(setup.vm_list).map_err(io::Error::other)?;
+        let store = HttpStore::new(settings.store).map_err(io::Error::other)?;
+        let list = HttpVmList::new(settings.vm_list).map_err(io::Error::other)?;
         let sync = Arc::new(BundleSync::new(
             Arc::new(store),
             links.clone(),
             &library,
-            setup.operators,
+            settings.operator_keys.clone(),
             events.clone(),
             log.clone(),
         ));
