bundle: Refuse documents with hundreds of open brackets; shorten node errors

Cause: a document of 200,000 opening brackets kept `check` busy for more than nine minutes, at which point it was stopped. The YAML parser's time grows with the square of the open brackets.

A lower limit on the document's length was ruled out: 5,000 brackets already take half a second in a debug build. Anchors and aliases need no limit of their own, since the parser bounds them.

Conclusion: more than 500 open brackets are a fault. Entries parse only JSON parts, whose parser bounds the depth, so they were not affected. An HTML page in an entry's error answer is left out of the message.

--- a/bundle/src/check/form.rs
+++ b/bundle/src/check/form.rs
@@ -10,6 +10,10 @@
 /// Longest document that is parsed; bounds the parser's time and memory.
 const DOCUMENT_BYTES_MAX: usize = 16 * VALUE_BYTES_MAX;
 
+/// Most brackets that may be open at a time. A bundle needs three; the time that the parser takes
+/// grows with the square of the depth.
+const OPEN_BRACKETS_MAX: usize = 500;
+
 impl RawBundle {
     /// Reads a bundle document without checking it beyond its form.
     ///
@@ -24,10 +28,29 @@
             );
             return Err(Error::Invalid(vec![Fault::new("", message)]));
         }
+        if open_brackets(text) > OPEN_BRACKETS_MAX {
+            let message = format!("more than {OPEN_BRACKETS_MAX} brackets are open; close them");
+            return Err(Error::Invalid(vec![Fault::new("", message)]));
+        }
         serde_yaml_ng::from_str(text).map_err(|e| Error::Invalid(all(text, fault(&e))))
     }
 }
 
+/// Returns the largest number of brackets open at a time. Brackets in strings and comments count,
+/// which only matters for documents with hundreds of them.
+fn open_brackets(text: &str) -> usize {
+    let (mut open, mut most) = (0_usize, 0);
+    for byte in text.bytes() {
+        match byte {
+            b'[' | b'{' => open += 1,
+            b']' | b'}' => open = open.saturating_sub(1),
+            _ => {}
+        }
+        most = most.max(open);
+    }
+    most
+}
+
 /// Takes path, line and column out of a parser's message, such as
 /// ``routes[1]: unknown field `hege` at line 9 column 5``.
 fn fault(error: &serde_yaml_ng::Error) -> Fault {
--- a/bundle/tests/check.rs
+++ b/bundle/tests/check.rs
@@ -239,6 +239,13 @@
     );
 }
 
+/// Guards against a document that occupies the parser for minutes.
+#[test]
+fn deeply_nested_brackets_are_refused() {
+    let found = faults(&format!("services: {}", "[{a: ".repeat(3000)));
+    assert!(found[0].message.contains("brackets are open"), "{found:?}");
+}
+
 /// Guards against a version that no entry can fetch because a part exceeds the store's value size.
 #[test]
 fn a_part_larger_than_a_store_value_is_a_fault() {
--- a/cli/src/cmd/rollout.rs
+++ b/cli/src/cmd/rollout.rs
@@ -149,7 +149,7 @@
             version, digest, ..
         } = self;
         writeln!(f, "version {version} {how}")?;
-        writeln!(f, "digest {digest}, {} parts written", self.parts_written)?;
+        writeln!(f, "digest {digest}, parts written: {}", self.parts_written)?;
         let total = self.nodes.len();
         if total == 0 {
             return writeln!(
--- a/cli/src/node.rs
+++ b/cli/src/node.rs
@@ -105,7 +105,12 @@
         .map_err(|f| failed(f.why))?;
     if reply.status != StatusCode::OK {
         let body = String::from_utf8_lossy(&reply.body);
-        return Err(failed(format!("answer {}: {}", reply.status, body.trim())));
+        // A page written for browsers says no more than the status.
+        let line = body.lines().next().filter(|line| !line.starts_with('<'));
+        return Err(failed(match line {
+            Some(line) => format!("answer {}: {line}", reply.status),
+            None => format!("answer {}", reply.status),
+        }));
     }
     serde_json::from_slice(&reply.body).map_err(|e| failed(format!("not JSON: {e}")))
 }
