entry: refuse conflicting lengths, send small frames at once, test bad input

hyper drops content-length next to transfer-encoding and merges equal repetitions before a handler sees the request, so a follower of the framing looks at the bytes; the handler then answers 400. Refusing such requests inside the stream was ruled out because the answer would lack the entry's own header fields.

A slow reader over h2 got about 1 MB/s in the test because accepted sockets kept Nagle's algorithm on: salvo does not set TCP_NODELAY.

--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -9,6 +9,7 @@
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
 use slog::{Logger, debug};
 
+use crate::acceptor::Connections;
 use crate::answer::{Answer, own};
 use crate::body::RequestBody;
 use crate::control::Control;
@@ -21,6 +22,8 @@
 pub struct Shared {
     /// Control thread.
     pub control: Control,
+    /// Connections of callers.
+    pub connections: Arc<Connections>,
     /// Connections to targets.
     pub pool: Arc<Pool>,
     /// Metrics of the data path.
@@ -38,6 +41,7 @@
         let metrics = Traffic::new();
         Arc::new(Self {
             control,
+            connections: Arc::default(),
             pool: Arc::new(Pool::new(metrics.connects.clone())),
             metrics,
             log,
@@ -77,6 +81,10 @@
         id: RequestId,
         req: &mut Request,
     ) -> Result<(Arrival, Outgoing), head::Fault> {
+        let caller = req.remote_addr().clone().into_std();
+        if self.connections.conflicting(caller) {
+            return Err("conflicting lengths");
+        }
         let bundle = self.control.bundle();
         let limits = bundle.as_ref().map(|b| &b.limits);
         let tenant_header = limits.map(|l| l.tenant_header.as_str());
@@ -108,8 +116,7 @@
             replayable: RequestBody::replayable(checked.body_bytes),
         };
         let mut headers = std::mem::take(req.headers_mut());
-        let caller = req.remote_addr().clone().into_std().map(|a| a.ip());
-        head::forward(&mut headers, &uri, caller);
+        head::forward(&mut headers, &uri, caller.map(|a| a.ip()));
         let target = uri.path_and_query().cloned();
         let outgoing = Outgoing {
             method,
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod effects;
 pub mod error;
 pub mod events;
+pub mod framing;
 pub mod head;
 mod http_get;
 pub mod log;
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -6,7 +6,6 @@
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use lacewingmoor_control::{Event, State};
-use salvo::fuse::FuseConfig;
 use salvo::server::ServerHandle;
 use salvo::{Router, Server};
 use slog::{Logger, info};
@@ -15,7 +14,7 @@
 use tokio::sync::mpsc;
 use tokio::task::JoinHandle;
 
-use crate::acceptor::{Closer, ClosingAcceptor};
+use crate::acceptor::{ClosingAcceptor, Connections};
 use crate::admin::Admin;
 use crate::caller::{Caller, Shared};
 use crate::control::{self, Control};
@@ -29,9 +28,6 @@
 /// Longest head that the server reads before the bundle's own limit is applied.
 const HEAD_BYTES_MAX: usize = 64 * 1024;
 
-/// Time within which a connection has to send the head of its first or next request.
-const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
-
 /// Time that the last lines may take to be written when the process ends.
 const LOG_FLUSH_MAX: Duration = Duration::from_secs(2);
 
@@ -41,7 +37,6 @@
     pub addr: SocketAddr,
     /// State shared by all requests.
     pub shared: Arc<Shared>,
-    closer: Closer,
     handle: ServerHandle,
     server: JoinHandle<()>,
 }
@@ -55,10 +50,8 @@
     pub fn start(listener: TcpListener, control: Control, log: Logger) -> std::io::Result<Self> {
         let shared = Shared::new(control, log);
         let addr = listener.local_addr()?;
-        let closer = Closer::default();
-        let acceptor = ClosingAcceptor::new(listener, closer.clone())?;
-        let mut server = Server::new(acceptor)
-            .fuse_config(FuseConfig::disabled().with_http1_header_timeout(HEAD_TIMEOUT));
+        let acceptor = ClosingAcceptor::new(listener, shared.connections.clone())?;
+        let mut server = Server::new(acceptor);
         server.http1_mut().max_buf_size(HEAD_BYTES_MAX);
         server
             .http2_mut()
@@ -70,7 +63,6 @@
         Ok(Self {
             addr,
             shared,
-            closer,
             handle,
             server,
         })
@@ -80,7 +72,7 @@
     /// takes.
     pub async fn stop(self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
-        self.closer.close();
+        self.shared.connections.close();
         self.handle.stop_graceful(None);
         let _ = self.server.await;
     }
@@ -223,7 +215,7 @@
     readiness: &Readiness,
     metrics: metrics_exporter_prometheus::PrometheusHandle,
 ) -> Result<(), Error> {
-    let acceptor = ClosingAcceptor::new(listener, Closer::default())
+    let acceptor = ClosingAcceptor::new(listener, Arc::new(Connections::default()))
         .map_err(|e| Error::Listen("admin", settings.admin, e))?;
     let admin = Admin {
         settings: settings.clone(),
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -231,9 +231,16 @@
         .unwrap_or(0)
 }
 
+/// Opens a connection that does not delay small writes.
+pub async fn connect(addr: SocketAddr) -> TcpStream {
+    let stream = TcpStream::connect(addr).await.unwrap();
+    stream.set_nodelay(true).unwrap();
+    stream
+}
+
 /// Sends bytes on a new connection.
 pub async fn send(addr: SocketAddr, request: &str) -> TcpStream {
-    let mut stream = TcpStream::connect(addr).await.unwrap();
+    let mut stream = connect(addr).await;
     stream.write_all(request.as_bytes()).await.unwrap();
     stream
 }
--- a/entry/tests/target.rs
+++ b/entry/tests/target.rs
@@ -191,7 +191,7 @@
                 tokio::task::yield_now().await;
             }
             // Bytes after the end of the answer must not become the next answer.
-            let extra = if number % 5 == 0 {
+            let extra = if number.is_multiple_of(5) {
                 "HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nwrong"
             } else {
                 ""
