--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -118,7 +118,21 @@
         ));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let traffic = Traffic::start(listener, control.clone(), log::discard()).unwrap();
+        let (version, digest) = (bundle.version, bundle.digest);
         control.send(Event::Bundle(Arc::new(bundle)));
+        let store = control.clone();
+        tokio::spawn(async move {
+            // Stands for the answers of a store, without which an entry takes no work.
+            loop {
+                store.send(Event::StoreReached {
+                    as_of: store.now(),
+                    version,
+                    digest,
+                });
+                tokio::time::sleep(Duration::from_millis(100)).await;
+            }
+        });
+        tokio::task::yield_now().await;
         // The query returns after the bundle was applied.
         control.query(|_, _| ()).await.unwrap();
         Self {
