cli: Show the owner of each target in status

Cause: entries may see a target in different states, and the owner's view decides.

Rows are grouped by target and state; the owner column names the node that reports the target as owned. Showing only the owner's row was ruled out, because a target without an owner would vanish.

Conclusion: two rows for one target mean that its state is still spreading or has no owner.

--- a/cli/src/cmd/status.rs
+++ b/cli/src/cmd/status.rs
@@ -76,9 +76,9 @@
         first.is_some() && versions.all(|v| v == first)
     }
 
-    /// Returns the nodes' answers by target: zone and state, then the nodes that see it so.
-    fn targets(&self) -> BTreeMap<String, BTreeMap<(String, String), Vec<&str>>> {
-        let mut targets: BTreeMap<String, BTreeMap<_, Vec<&str>>> = BTreeMap::new();
+    /// Returns the nodes' answers by target, then by zone and state.
+    fn targets(&self) -> BTreeMap<String, BTreeMap<(String, String), Seen<'_>>> {
+        let mut targets: BTreeMap<String, BTreeMap<_, Seen<'_>>> = BTreeMap::new();
         for status in self.nodes.iter().filter_map(|n| n.status.as_ref()) {
             for target in &status.targets {
                 let text = |field: &str| match target.get(field) {
@@ -86,19 +86,25 @@
                     Some(other) => other.to_string(),
                     None => String::new(),
                 };
-                let name = match target.get("target") {
-                    Some(_) => text("target"),
-                    None => text("name"),
-                };
-                let seen = targets.entry(name).or_default();
-                let nodes = seen.entry((text("zone"), text("state"))).or_default();
-                nodes.push(&status.node);
+                let states = targets.entry(text("target")).or_default();
+                let seen = states.entry((text("zone"), text("state"))).or_default();
+                seen.by.push(&status.node);
+                if target.get("owned") == Some(&Value::Bool(true)) {
+                    seen.owners.push(&status.node);
+                }
             }
         }
         targets
     }
 }
 
+/// Nodes that see a target in the same state.
+#[derive(Default)]
+struct Seen<'a> {
+    by: Vec<&'a str>,
+    owners: Vec<&'a str>,
+}
+
 impl fmt::Display for Report {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let head = [
@@ -129,17 +135,17 @@
             return Ok(());
         }
         let mut rows = vec![
-            ["TARGET", "ZONE", "STATE", "SEEN BY"]
+            ["TARGET", "ZONE", "STATE", "OWNER", "SEEN BY"]
                 .map(String::from)
                 .to_vec(),
         ];
         for (name, seen) in targets {
-            for ((zone, state), nodes) in seen {
-                let nodes = match nodes.len() {
+            for ((zone, state), seen) in seen {
+                let by = match seen.by.len() {
                     n if n == self.nodes.len() => "all".into(),
-                    _ => nodes.join(" "),
+                    _ => seen.by.join(" "),
                 };
-                rows.push(vec![name.clone(), zone, state, nodes]);
+                rows.push(vec![name.clone(), zone, state, seen.owners.join(" "), by]);
             }
         }
         write!(f, "\n{}", table(&rows))
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -102,7 +102,10 @@
         json!({
             "node": name, "zone": "oberland-a", "region": "oberland", "version": version,
             "digest": "ab", "fresh": true, "ready": true, "new_field": 1,
-            "targets": [{ "target": "lanes/lane-01", "zone": "oberland-a", "state": state }],
+            "targets": [{
+                "target": "lanes/lane-01", "zone": "oberland-a", "state": state,
+                "owned": state == "cold",
+            }],
         })
     };
     let one = entry(node("entry-1", 4, "warm")).await;
@@ -112,8 +115,8 @@
     let same = run(&["status", "--nodes", &nodes]).await;
     assert_eq!(same.code, 0, "{}", same.out);
     for line in [
-        "lanes/lane-01  oberland-a  cold   entry-2",
-        "lanes/lane-01  oberland-a  warm   entry-1",
+        "lanes/lane-01  oberland-a  cold   entry-2  entry-2",
+        "lanes/lane-01  oberland-a  warm            entry-1",
     ] {
         assert!(same.out.contains(line), "{}", same.out);
     }
