--- a/bundle/src/error.rs
+++ b/bundle/src/error.rs
@@ -51,13 +51,13 @@
         }
         /// No operator key has the id that the manifest was signed with.
         UnknownKey(key_id: String) {
-            display("manifest signature: key {key_id} is not an operator key; sign with a key whose \
-                     public half is in operator_keys")
+            display("manifest signature: key {key_id} is not an operator key; sign with a key \
+                     whose public half is in operator_keys")
         }
         /// The signature does not fit manifest and key.
         BadSignature(key_id: String) {
-            display("manifest signature: not made by key {key_id}, or the manifest was changed after \
-                     signing; sign the bundle again")
+            display("manifest signature: not made by key {key_id}, or the manifest was changed \
+                     after signing; sign the bundle again")
         }
         /// A key cannot be read.
         Key(why: String) {
--- a/bundle/tests/check.rs
+++ b/bundle/tests/check.rs
@@ -271,7 +271,11 @@
 /// without telling which work stops.
 #[rstest]
 #[case::none("version: 3", "version: 4", &[])]
-#[case::last_zone_of_a_service("north-a, state: in", "north-a, state: out", &["service billing", "route book"])]
+#[case::last_zone_of_a_service(
+    "north-a, state: in",
+    "north-a, state: out",
+    &["service billing", "route book"],
+)]
 #[case::no_route("service: lanes", "service: billing", &["service lanes"])]
 #[case::tenant_refused("home_regions: [north] }", "home_regions: [south] }", &["tenant club"])]
 fn warnings_do_not_refuse(#[case] from: &str, #[case] to: &str, #[case] paths: &[&str]) {
@@ -285,13 +289,21 @@
 #[rstest]
 #[case::equal("version: 3", "version: 3 # note", &[])]
 #[case::number("slots: 4", "slots: 5", &["~ services[lanes].slots: 4 -> 5"])]
-#[case::zone("north-b, state: out", "north-b, state: in", &["~ regions[north].zones[north-b].state: out -> in"])]
+#[case::zone(
+    "north-b, state: out",
+    "north-b, state: in",
+    &["~ regions[north].zones[north-b].state: out -> in"],
+)]
 #[case::removed(
     "      - { name: t2, addr: \"127.0.0.1:21002\", zone: south-a }\n",
     "",
     &["- services[lanes].targets[t2]: addr=127.0.0.1:21002 zone=south-a"]
 )]
-#[case::home("hedge: true", "hedge: true\n    home_regions: [north, south]", &["+ routes[schedule].home_regions: [north, south]"])]
+#[case::home(
+    "hedge: true",
+    "hedge: true\n    home_regions: [north, south]",
+    &["+ routes[schedule].home_regions: [north, south]"],
+)]
 #[case::renamed("name: club", "name: team", &[
     "- tenants[club]: home_regions=[north] share=2",
     "+ tenants[team]: home_regions=[north] share=2",
--- a/bundle/tests/parts.rs
+++ b/bundle/tests/parts.rs
@@ -39,7 +39,8 @@
 
 /// Guards against sending the whole bundle when one service changed.
 #[rstest]
-#[case::service("slots: 4\n    cold_slots: 1\n    warmup_ms: 4000\n    connections_max: 250\n    probe", "slots: 5\n    cold_slots: 1\n    warmup_ms: 4000\n    connections_max: 250\n    probe", &["service/lanes"])]
+#[case::service("127.0.0.1:21002", "127.0.0.1:21003", &["service/lanes"])]
+#[case::route("deadline_ms: 3000", "deadline_ms: 3001", &["service/billing"])]
 #[case::zone("north-b, state: out", "north-b, state: in", &["common"])]
 #[case::version("version: 3", "version: 4", &[])]
 fn a_change_touches_one_part(#[case] from: &str, #[case] to: &str, #[case] changed: &[&str]) {
--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -85,8 +85,8 @@
         }
         /// Another version was accepted, but it could not be read.
         LostUnread(peer: String, why: String) {
-            display("write manifest, store {peer}: another version was accepted first and could not \
-                     be read: {why}; run diff --store and sign a greater version")
+            display("write manifest, store {peer}: another version was accepted first and could \
+                     not be read: {why}; run diff --store and sign a greater version")
         }
         /// The write's answer was lost and its outcome could not be found out.
         Unknown(peer: String, why: String) {
@@ -129,8 +129,8 @@
 
 fn lost(peer: &str, ours: Version, winner: &Winner) -> String {
     let mut text = format!(
-        "write manifest, store {peer}: version {} signed by key {} (digest {}) was accepted instead \
-         of version {ours}",
+        "write manifest, store {peer}: version {} signed by key {} (digest {}) was accepted \
+         instead of version {ours}",
         winner.version, winner.key_id, winner.digest
     );
     match &winner.changes {
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Desk, ISARBRUNN, entry, run};
+use common::{ISARBRUNN, Operator, entry, run};
 use lacewingmoor_standin::ANY_PORT;
 use lacewingmoor_standin::store::Store;
 use rstest::rstest;
@@ -35,9 +35,9 @@
 /// Guards against faults that are not shown, in either form.
 #[tokio::test(flavor = "multi_thread")]
 async fn check_prints_all_faults() {
-    let desk = Desk::new().await;
+    let operator = Operator::new().await;
     let bad = ISARBRUNN.replace("cold_slots: 1", "cold_slots: 9");
-    let file = desk.write("bad.yaml", &bad);
+    let file = operator.write("bad.yaml", &bad);
     let result = run(&["check", &file]).await;
     assert_eq!(result.code, 1);
     assert_eq!(
@@ -49,7 +49,7 @@
     let result = run(&["check", &file, "--json"]).await;
     assert_eq!(result.code, 1);
     assert_eq!(result.json()["faults"][2]["path"], "services[2].cold_slots");
-    let file = desk.write("good.yaml", ISARBRUNN);
+    let file = operator.write("good.yaml", ISARBRUNN);
     let report = run(&["check", &file, "--json"]).await.json();
     assert_eq!(report["targets"], 45);
     assert_eq!(report["warnings"], json!([]));
@@ -60,8 +60,8 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn keygen_keeps_an_existing_key() {
     use std::os::unix::fs::PermissionsExt as _;
-    let desk = Desk::new().await;
-    let path = desk.path("key");
+    let operator = Operator::new().await;
+    let path = operator.path("key");
     let key = std::fs::read(&path).expect("a key");
     let result = run(&["keygen", "--out", common::text(&path)]).await;
     assert_eq!(result.code, 2, "{}", result.err);
@@ -78,11 +78,11 @@
 async fn diff_compares_with_files_and_with_the_store() {
     let store = Store::start(ANY_PORT).await.expect("a port");
     let addr = store.addr().to_string();
-    let desk = Desk::new().await;
-    let old = desk.write("old.yaml", ISARBRUNN);
-    let signed = desk.sign(1, 200).await;
+    let operator = Operator::new().await;
+    let old = operator.write("old.yaml", ISARBRUNN);
+    let signed = operator.sign(1, 200).await;
     assert_eq!(run(&["rollout", &signed, "--store", &addr]).await.code, 0);
-    let new = desk.write(
+    let new = operator.write(
         "new.yaml",
         &ISARBRUNN.replace("isartal-b, state: in", "isartal-b, state: out"),
     );
--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -43,12 +43,12 @@
 }
 
 /// A directory with an operator key.
-pub struct Desk {
+pub struct Operator {
     dir: TempDir,
     pub public_key: String,
 }
 
-impl Desk {
+impl Operator {
     pub async fn new() -> Self {
         let dir = tempfile::tempdir().expect("a directory");
         let key = dir.path().join("key");
