entry: feed freshness to the process test and end it when the log stays silent

Since the reducer requires a confirmed version, the process under test was never ready and the test waited for a log line without end. The child now confirms its bundle like the in-process entries, and waiting for a line is bounded.

--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -97,6 +97,21 @@
     })
 }
 
+/// Stands for the answers of a store, without which an entry takes no work.
+pub fn confirm(control: &Control, bundle: &Bundle) {
+    let (control, version, digest) = (control.clone(), bundle.version, bundle.digest);
+    tokio::spawn(async move {
+        loop {
+            control.send(Event::StoreReached {
+                as_of: control.now(),
+                version,
+                digest,
+            });
+            tokio::time::sleep(Duration::from_millis(100)).await;
+        }
+    });
+}
+
 /// The caller side of an entry.
 pub struct Entry {
     pub addr: SocketAddr,
@@ -118,20 +133,9 @@
         ));
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let traffic = Traffic::start(listener, control.clone(), log::discard()).unwrap();
-        let (version, digest) = (bundle.version, bundle.digest);
-        control.send(Event::Bundle(Arc::new(bundle)));
-        let store = control.clone();
-        tokio::spawn(async move {
-            // Stands for the answers of a store, without which an entry takes no work.
-            loop {
-                store.send(Event::StoreReached {
-                    as_of: store.now(),
-                    version,
-                    digest,
-                });
-                tokio::time::sleep(Duration::from_millis(100)).await;
-            }
-        });
+        let bundle = Arc::new(bundle);
+        control.send(Event::Bundle(bundle.clone()));
+        confirm(&control, &bundle);
         tokio::task::yield_now().await;
         // The query returns after the bundle was applied.
         control.query(|_, _| ()).await.unwrap();
--- a/entry/tests/process.rs
+++ b/entry/tests/process.rs
@@ -5,8 +5,9 @@
 
 use std::io::{BufRead, BufReader};
 use std::net::SocketAddr;
-use std::process::{Child, ChildStderr, Command, Stdio};
-use std::sync::Arc;
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, mpsc};
+use std::time::Duration;
 
 use common::{Fake, call, get, read_request, send, status};
 use lacewingmoor_control::Event;
@@ -16,6 +17,9 @@
 use tokio::net::TcpStream;
 use tokio::sync::Notify;
 
+/// Ends a test whose process does not log what it should; without it the test would hang.
+const LOG_WAIT_MAX: Duration = Duration::from_secs(60);
+
 const TARGET: &str = "LACEWINGMOOR_TEST_TARGET";
 
 fn settings() -> String {
@@ -38,6 +42,7 @@
     let settings = Settings::parse(&settings()).unwrap();
     let bundle = Arc::new(common::bundle(&[target.parse().unwrap()]));
     run_with(settings, |_, control, _, _| {
+        common::confirm(control, &bundle);
         control.send(Event::Bundle(bundle));
         Ok(None)
     })
@@ -46,7 +51,7 @@
 
 struct Process {
     child: Child,
-    stderr: BufReader<ChildStderr>,
+    log: mpsc::Receiver<String>,
     listen: SocketAddr,
     admin: SocketAddr,
 }
@@ -65,26 +70,31 @@
             .spawn()
             .unwrap();
         let stderr = BufReader::new(child.stderr.take().unwrap());
+        let (lines, log) = mpsc::channel();
+        std::thread::spawn(move || {
+            for line in stderr.lines().map_while(Result::ok) {
+                let _ = lines.send(line);
+            }
+        });
         let unknown = SocketAddr::from(([0, 0, 0, 0], 0));
         let mut process = Self {
             child,
-            stderr,
+            log,
             listen: unknown,
             admin: unknown,
         };
         let line = process.log_line("event=started");
         process.listen = value(&line, "listen").parse().unwrap();
         process.admin = value(&line, "admin").parse().unwrap();
-        process.log_line("event=bundle_in_force");
+        process.log_line("event=ready ready=true");
         process
     }
 
     /// Reads the log up to a line that holds `text`.
-    fn log_line(&mut self, text: &str) -> String {
+    fn log_line(&self, text: &str) -> String {
         loop {
-            let mut line = String::new();
-            let read = self.stderr.read_line(&mut line).unwrap();
-            assert_ne!(read, 0, "the process ended before it logged {text}");
+            let line = self.log.recv_timeout(LOG_WAIT_MAX);
+            let line = line.unwrap_or_else(|_| panic!("the process did not log {text}"));
             if line.contains(text) {
                 return line;
             }
