--- a/cli/tests/common/mod.rs
+++ b/cli/tests/common/mod.rs
@@ -106,6 +106,8 @@
     CutAfterAndDown,
     /// Another operator's value is written first.
     OtherFirst(Vec<u8>),
+    /// Another operator's value is written first; the store stays away after the answer.
+    OtherFirstThenDown(Vec<u8>),
     /// Another operator's value is written first, and the answer is lost.
     OtherFirstCutAfter(Vec<u8>),
     /// The answer is lost, and another operator's value is written afterwards.
@@ -152,7 +154,12 @@
     if *down.lock().expect("lock") || matches!(fault, Some(Fault::CutBefore)) {
         return cut();
     }
-    if let Some(Fault::OtherFirst(value) | Fault::OtherFirstCutAfter(value)) = &fault {
+    if let Some(
+        Fault::OtherFirst(value)
+        | Fault::OtherFirstThenDown(value)
+        | Fault::OtherFirstCutAfter(value),
+    ) = &fault
+    {
         other(value.clone()).await.map_err(io::Error::other)?;
     }
     let forwarded = client
@@ -166,6 +173,7 @@
             other(value).await.map_err(io::Error::other)?;
             return cut();
         }
+        Some(Fault::OtherFirstThenDown(_)) => *down.lock().expect("lock") = true,
         Some(Fault::CutAfterAndDown) => {
             *down.lock().expect("lock") = true;
             return cut();
