--- /dev/null
+++ b/control/src/credit.rs
@@ -0,0 +1,264 @@
+//! Grants: how the owner of a target divides its slots among the entries.
+
+use std::time::Duration;
+
+use lacewingmoor_bundle::NodeId;
+
+use crate::{DemandItem, Effect, GRANT_TTL, GrantItem, Message, State};
+
+/// Time for which slots of an entry that fell silent count as in use on a target that is not
+/// warm, because the requests it sent before may still run.
+const SILENT_HOLD: Duration = Duration::from_secs(5);
+
+/// An entry that uses or wants slots of a target.
+#[derive(Clone, Debug)]
+struct Borrower {
+    node: NodeId,
+    incarnation: u64,
+    /// Send time of its last demand, on its clock.
+    sent: Duration,
+    wanted: u32,
+    spare: u32,
+    /// Slots told in the last grant.
+    told: u32,
+    /// Most slots that the entry can hold or have in use since its last demand.
+    bound: u32,
+    /// Time until which its credits may be in force, on the owner's clock.
+    until: Duration,
+    /// True if its last demand has not been answered.
+    unanswered: bool,
+}
+
+/// Books of the owner of one target.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct Lender {
+    borrowers: Vec<Borrower>,
+}
+
+/// A grant to be sent.
+#[derive(Clone, Debug)]
+pub(crate) struct Granted {
+    pub node: NodeId,
+    pub demand_sent: Duration,
+    pub slots: u32,
+}
+
+/// Terms of a division.
+pub(crate) struct Division {
+    pub cap: u32,
+    /// True if slots of silent entries stay taken.
+    pub strict: bool,
+    /// True if only slots known to be free are granted.
+    pub cautious: bool,
+}
+
+impl Lender {
+    /// Takes a demand; returns false if a later one of the same process came first.
+    pub fn demand(
+        &mut self,
+        now: Duration,
+        from: (NodeId, u64),
+        sent: Duration,
+        item: &DemandItem,
+    ) -> bool {
+        let known = self
+            .borrowers
+            .iter()
+            .position(|b| (b.node, b.incarnation) == from);
+        let at = known.unwrap_or_else(|| {
+            self.borrowers.push(Borrower {
+                node: from.0,
+                incarnation: from.1,
+                sent: Duration::ZERO,
+                wanted: 0,
+                spare: 0,
+                told: 0,
+                bound: 0,
+                until: now,
+                unanswered: false,
+            });
+            self.borrowers.len() - 1
+        });
+        let borrower = &mut self.borrowers[at];
+        if sent < borrower.sent {
+            return false;
+        }
+        // Grants that answer earlier demands are void at the entry once it has sent a new one.
+        borrower.sent = sent;
+        borrower.wanted = item.wanted;
+        borrower.spare = item.spare;
+        borrower.told = item.held;
+        borrower.bound = item.held.max(item.in_use);
+        borrower.until = now + GRANT_TTL;
+        borrower.unanswered = true;
+        true
+    }
+
+    /// Forgets entries whose grants have expired; those that may still use slots are kept longer.
+    fn expire(&mut self, now: Duration, strict: bool) {
+        let hold = if strict { SILENT_HOLD } else { Duration::ZERO };
+        self.borrowers
+            .retain(|b| now < b.until || (b.bound > 0 && now < b.until + hold));
+    }
+
+    /// Returns the slots that entries hold or may have in use.
+    pub fn outstanding(&self) -> u32 {
+        self.borrowers.iter().map(|b| b.bound).sum()
+    }
+
+    /// Returns the slots of unexpired grants.
+    pub fn granted(&self, now: Duration) -> u32 {
+        let live = self.borrowers.iter().filter(|b| now < b.until);
+        live.map(|b| b.told).sum()
+    }
+
+    /// Divides the cap anew; returns what has to be sent.
+    pub fn divide(&mut self, now: Duration, division: &Division) -> Vec<Granted> {
+        self.expire(now, division.strict);
+        let live: Vec<usize> = (0..self.borrowers.len())
+            .filter(|i| now < self.borrowers[*i].until)
+            .collect();
+        let silent: u32 = self
+            .borrowers
+            .iter()
+            .filter(|b| now >= b.until)
+            .map(|b| b.bound)
+            .sum();
+        let shares = self.shares(&live, division.cap.saturating_sub(silent));
+        let mut free = division.cap.saturating_sub(self.outstanding());
+        let mut grants = Vec::new();
+        for (i, share) in live.into_iter().zip(shares) {
+            let borrower = &mut self.borrowers[i];
+            let mut slots = share;
+            if division.cautious && share > borrower.bound {
+                let raise = (share - borrower.bound).min(free);
+                free -= raise;
+                slots = borrower.bound + raise;
+            }
+            if slots == borrower.told && !borrower.unanswered {
+                continue;
+            }
+            borrower.told = slots;
+            borrower.bound = borrower.bound.max(slots);
+            borrower.unanswered = false;
+            grants.push(Granted {
+                node: borrower.node,
+                demand_sent: borrower.sent,
+                slots,
+            });
+        }
+        grants
+    }
+
+    /// Divides `slots` by demand: first to what is in use or waited for, to the entry with the
+    /// fewest slots first; then what is left to entries that want slots in store.
+    fn shares(&self, live: &[usize], mut slots: u32) -> Vec<u32> {
+        let mut shares = vec![0; live.len()];
+        for with_spare in [false, true] {
+            while slots > 0 {
+                let next = (0..live.len())
+                    .filter(|k| {
+                        let b = &self.borrowers[live[*k]];
+                        let spare = if with_spare { b.spare } else { 0 };
+                        shares[*k] < b.wanted + spare
+                    })
+                    .min_by_key(|k| {
+                        let b = &self.borrowers[live[*k]];
+                        (shares[*k], shares[*k] >= b.told, b.node)
+                    });
+                let Some(k) = next else {
+                    break;
+                };
+                shares[k] += 1;
+                slots -= 1;
+            }
+        }
+        shares
+    }
+}
+
+impl State {
+    /// Takes the demand of an entry for targets that this one owns.
+    pub(crate) fn take_demand(
+        &mut self,
+        now: Duration,
+        from: (NodeId, u64),
+        sent: Duration,
+        items: &[DemandItem],
+        out: &mut Vec<Effect>,
+    ) {
+        let mut changed = Vec::with_capacity(items.len());
+        for item in items {
+            let Some(index) = self.fleet.index(item.target) else {
+                continue;
+            };
+            let target = &mut self.fleet.targets[index];
+            // Demands that come before the votes are complete count as well: they tell what is
+            // in use.
+            if target.lender.demand(now, from, sent, item) && target.lease.owned(now) {
+                if item.answered > 0 && from.0 != self.node {
+                    target.confirm(now);
+                }
+                changed.push(index);
+            }
+        }
+        for index in changed {
+            self.redivide(now, index, out);
+        }
+    }
+
+    /// Divides the slots of an owned target anew and notes the grants to be sent.
+    pub(crate) fn redivide(&mut self, now: Duration, index: usize, out: &mut Vec<Effect>) {
+        let wait = !self.faults.skip_takeover_wait;
+        let target = &mut self.fleet.targets[index];
+        if !target.lease.may_grant(now, wait) {
+            return;
+        }
+        let strict = !target.is_warm(now);
+        let cap = target.cap(now);
+        let before = target.lender.granted(now);
+        let division = Division {
+            cap,
+            strict,
+            cautious: !self.faults.ignore_outstanding,
+        };
+        let grants = target.lender.divide(now, &division);
+        target.divided_cap = cap;
+        let after = target.lender.granted(now);
+        let state = target.state(now);
+        let id = target.id;
+        if after > cap && after > before && !self.faults.any() {
+            let detail = format!("{} granted {after} cap {cap}", target.label);
+            self.violation("granted_above_cap", detail, out);
+        }
+        for grant in grants {
+            let item = GrantItem {
+                target: id,
+                slots: grant.slots,
+                state,
+            };
+            self.grants.push((grant.node, grant.demand_sent, item));
+        }
+    }
+
+    /// Sends the grants noted, one message for each demand that is answered.
+    pub(crate) fn send_grants(&mut self, now: Duration, out: &mut Vec<Effect>) {
+        let mut grants = std::mem::take(&mut self.grants);
+        grants.sort_by_key(|(node, sent, _)| (*node, *sent));
+        for chunk in grants.chunk_by(|a, b| (a.0, a.1) == (b.0, b.1)) {
+            let (to, demand_sent) = (chunk[0].0, chunk[0].1);
+            let items: Vec<GrantItem> = chunk.iter().map(|(_, _, item)| item.clone()).collect();
+            if to == self.node {
+                self.take_grant(now, to, demand_sent, &items, out);
+                continue;
+            }
+            let message = Message::Grant { demand_sent, items };
+            out.push(Effect::Send { to, message });
+        }
+        grants.clear();
+        // The buffer is kept unless taking own grants has led to new ones.
+        if self.grants.is_empty() {
+            self.grants = grants;
+        }
+    }
+}
--- a/control/src/fleet.rs
+++ b/control/src/fleet.rs
@@ -33,6 +33,14 @@
     /// Running mean of the time between two services from the queue, in seconds.
     pub drain_interval: f64,
     pub drained_at: Duration,
+    /// Time of the last arrival.
+    pub arrived_at: Duration,
+    /// Time since which requests wait.
+    pub waiting_since: Option<Duration>,
+    /// First target that is asked for requests that wait.
+    pub offset: usize,
+    /// True if demands have to be looked at.
+    pub dirty: bool,
 }
 
 impl ServiceState {
@@ -43,6 +51,17 @@
         self.drained_at = now;
         // Long gaps come from times without a queue and say nothing about its speed.
         self.drain_interval += (gap.min(1.0) - self.drain_interval) * 0.1;
+        self.queue_changed(now);
+    }
+
+    /// Notes that the length of the queue has changed.
+    pub fn queue_changed(&mut self, now: Duration) {
+        self.dirty = true;
+        if self.queue.is_empty() {
+            self.waiting_since = None;
+        } else {
+            self.waiting_since.get_or_insert(now);
+        }
     }
 }
 
--- a/control/src/flow.rs
+++ b/control/src/flow.rs
@@ -1,13 +1,11 @@
-//! The way of a request: arrival, queue, attempts, answer, end.
+//! The way of a request up to an attempt: arrival, queue, dispatch, refusal.
 
 use std::time::Duration;
 
-use lacewingmoor_bundle::TargetId;
-
 use crate::request::{Open, Request, Rules, Stage};
 use crate::select::Choice;
 use crate::{
-    Arrival, Attempt, DecisionKind, Dispatch, Effect, Fate, LoadReport, Outcome, Reason, Refusal,
+    Arrival, Attempt, DecisionKind, Dispatch, Effect, Fate, GRANT_TTL, Policy, Reason, Refusal,
     RequestId, State, Timer,
 };
 
@@ -45,8 +43,9 @@
         let service = &mut self.fleet.services[rules.service];
         service.retries.earn(bundle.limits.retry_percent);
         service.hedges.earn(bundle.limits.hedge_percent);
+        service.arrived_at = now;
         self.timer(deadline, Timer::Deadline(id));
-        let request = Request::new(deadline, arrival, rules);
+        let request = Request::new(now, deadline, arrival, rules);
         if let Some(earlier) = self.requests.insert(id, request) {
             self.violation("request_id_unique", format!("request {id}"), out);
             self.requests.insert(id, earlier);
@@ -109,6 +108,7 @@
             .mean()
             .min(request.deadline.saturating_sub(now) / 2);
         let last_call = request.deadline.saturating_sub(spare);
+        service.queue_changed(now);
         let full = service.queue.len() > queue_max;
         let loser = service.queue.last();
         self.timer(last_call, Timer::Queued(id));
@@ -199,6 +199,13 @@
             head: false,
             cancelled: false,
         });
+        let not_after = match self.setup.policy {
+            Policy::Credits if target.in_flight < target.credit.slots(now) => {
+                target.credit.expires()
+            }
+            // Without a credit the entry still must not act long after it decided.
+            _ => now + GRANT_TTL,
+        };
         target.in_flight += 1;
         target.latency.sent(now);
         let dispatch = Dispatch {
@@ -206,12 +213,20 @@
             attempt: request.attempts,
             target: target.id,
             addr: target.addr,
-            not_after: request.deadline,
+            not_after: not_after.min(request.deadline),
             deadline: request.deadline,
             body_bytes_max: request.rules.body_bytes_max,
             connections_max: connections.max(1),
         };
         let attempt = Some(dispatch.attempt);
+        let hedge = request.rules.hedge && request.attempts == 1 && request.arrival.replayable;
+        let service = request.rules.service;
+        if hedge
+            && self.setup.policy == Policy::Credits
+            && let Some(after) = self.fleet.services[service].latency.get()
+        {
+            self.timer(now + after, Timer::Hedge(id));
+        }
         self.decide(
             DecisionKind::Dispatch,
             Some(id),
@@ -223,199 +238,10 @@
         out.push(Effect::Dispatch(dispatch));
     }
 
-    pub(crate) fn head(
-        &mut self,
-        now: Duration,
-        id: RequestId,
-        attempt: Attempt,
-        status: u16,
-        report: Option<&LoadReport>,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Some(open) = request.open.iter_mut().find(|o| o.attempt == attempt) else {
-            return;
-        };
-        if open.head {
-            return;
-        }
-        open.head = true;
-        let (target, sent) = (open.target, open.sent);
-        let service = request.rules.service;
-        let first = request.stage == Stage::Running;
-        if first {
-            request.stage = Stage::Answered(attempt);
-            cancel_open(id, request, Some(attempt), out);
-        }
-        self.fleet.services[service]
-            .latency
-            .add(now.saturating_sub(sent));
-        self.target_answered(now, target, sent, status < 500, report, out);
-    }
-
-    pub(crate) fn ended(
-        &mut self,
-        now: Duration,
-        id: RequestId,
-        attempt: Attempt,
-        outcome: Outcome,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let Some(at) = request.open.iter().position(|o| o.attempt == attempt) else {
-            return;
-        };
-        let open = request.open.swap_remove(at);
-        let unsent = matches!(outcome, Outcome::NotSent | Outcome::Shed | Outcome::Expired);
-        if !unsent {
-            request.exposed += 1;
-        }
-        if outcome != Outcome::Expired {
-            request.tried.push(open.target);
-        }
-        let service = request.rules.service;
-        self.free(now, &open, outcome, out);
-        self.after_end(now, id, attempt, outcome, out);
-        self.pump(now, service, out);
-    }
-
-    /// Gives back the slot of an attempt and takes what its end tells about the target.
-    fn free(&mut self, now: Duration, open: &Open, outcome: Outcome, out: &mut Vec<Effect>) {
-        let Some(target) = self.fleet.get_mut(open.target) else {
-            return;
-        };
-        target.in_flight = target.in_flight.saturating_sub(1);
-        if !open.head {
-            target.latency.settled(now);
-        }
-        let sight = match outcome {
-            Outcome::NotSent if open.sent >= target.since => target.refused(now),
-            Outcome::Shed => target.shed(now),
-            Outcome::Broken | Outcome::Cut if open.sent >= target.since => {
-                target.bad_answer(now, true)
-            }
-            _ => None,
-        };
-        self.saw(now, open.target, sight, out);
-    }
-
-    /// Decides what happens to a request after one of its attempts ended.
-    fn after_end(
-        &mut self,
-        now: Duration,
-        id: RequestId,
-        attempt: Attempt,
-        outcome: Outcome,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let over = match request.stage {
-            Stage::Over => true,
-            Stage::Answered(winner) => winner == attempt,
-            Stage::Queued(_) => false,
-            Stage::Running => matches!(outcome, Outcome::Complete | Outcome::Cut),
-        };
-        if over {
-            request.stage = Stage::Over;
-            cancel_open(id, request, None, out);
-            if request.open.is_empty() {
-                self.requests.remove(&id);
-            }
-            return;
-        }
-        if request.stage != Stage::Running {
-            return;
-        }
-        let reason = match outcome {
-            Outcome::NotSent => Reason::ConnectFailed,
-            Outcome::Shed => Reason::Shed,
-            Outcome::Expired => Reason::Deadline,
-            _ => Reason::Broken,
-        };
-        request.failure = Some(reason);
-        if request.open.is_empty() {
-            self.retry(now, id, outcome, reason, out);
-        }
-    }
-
-    /// Starts another attempt if the rules and the budget allow it, else refuses the request.
-    fn retry(
-        &mut self,
-        now: Duration,
-        id: RequestId,
-        outcome: Outcome,
-        reason: Reason,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        let may = request.may_send() && now < request.deadline && self.members.fresh(now);
-        let retries = &mut self.fleet.services[request.rules.service].retries;
-        // An attempt that was not carried out has cost nothing and needs no token.
-        if may && (outcome == Outcome::Expired || retries.spend()) {
-            self.place(now, id, "retry", out);
-        } else {
-            self.give_up(now, id, reason, out);
-        }
-    }
-
-    pub(crate) fn caller_gone(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get_mut(&id) else {
-            return;
-        };
-        let service = request.rules.service;
-        let stage = request.stage;
-        request.stage = Stage::Over;
-        cancel_open(id, request, None, out);
-        if request.open.is_empty() {
-            self.requests.remove(&id);
-        }
-        if let Stage::Queued(place) = stage {
-            self.fleet.services[service].queue.remove(place, false);
-        }
-        self.pump(now, service, out);
-    }
-
-    /// Acts on the deadline of a request; an answer that has begun is not cut off.
-    pub(crate) fn deadline_passed(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
-        let Some(request) = self.requests.get(&id) else {
-            return;
-        };
-        match request.stage {
-            Stage::Queued(_) => self.give_up(now, id, Reason::Deadline, out),
-            Stage::Running => {
-                for open in request.open.clone() {
-                    let target = self.fleet.get_mut(open.target);
-                    let sight = target
-                        .filter(|t| open.sent >= t.since)
-                        .and_then(|t| t.bad_answer(now, true));
-                    self.saw(now, open.target, sight, out);
-                }
-                self.give_up(now, id, Reason::Timeout, out);
-            }
-            Stage::Answered(_) | Stage::Over => {}
-        }
-    }
-
-    /// Refuses a queued request whose deadline leaves no time for an answer.
-    pub(crate) fn queued_too_long(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
-        let queued = self.requests.get(&id).map(|r| r.stage);
-        if let Some(Stage::Queued(_)) = queued {
-            self.give_up(now, id, Reason::Deadline, out);
-        }
-    }
-
     /// Refuses a request that is known; its open attempts are cancelled.
     pub(crate) fn give_up(
         &mut self,
-        _now: Duration,
+        now: Duration,
         id: RequestId,
         reason: Reason,
         out: &mut Vec<Effect>,
@@ -426,6 +252,7 @@
         if let Stage::Queued(place) = request.stage {
             let service = request.rules.service;
             self.fleet.services[service].queue.remove(place, false);
+            self.fleet.services[service].queue_changed(now);
         }
         let ran = request.exposed > 0 || !request.open.is_empty();
         // The failure of an earlier attempt says more than that no other target was left.
@@ -465,28 +292,10 @@
             retry_after: (busy && fate == Fate::NotRun).then_some(RETRY_AFTER),
         }));
     }
-
-    /// Takes an answer of a target, whatever became of the request.
-    fn target_answered(
-        &mut self,
-        now: Duration,
-        id: TargetId,
-        sent: Duration,
-        success: bool,
-        report: Option<&LoadReport>,
-        out: &mut Vec<Effect>,
-    ) {
-        let Some(target) = self.fleet.get_mut(id) else {
-            return;
-        };
-        target.latency.settled(now);
-        let sight = target.answered(now, sent, success, report);
-        self.saw(now, id, sight, out);
-    }
 }
 
 /// Cancels the open attempts of a request except one.
-fn cancel_open(
+pub(crate) fn cancel_open(
     id: RequestId,
     request: &mut Request,
     except: Option<Attempt>,
--- a/control/src/invariant.rs
+++ b/control/src/invariant.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use crate::request::Stage;
-use crate::{Effect, RequestId, State, Violation};
+use crate::{Effect, Policy, RequestId, State, Violation};
 
 impl State {
     /// Reports a broken invariant.
@@ -14,7 +14,7 @@
     /// Checks at the last step before a dispatch that it is allowed.
     pub(crate) fn check_dispatch(
         &self,
-        _now: Duration,
+        now: Duration,
         id: RequestId,
         index: usize,
         out: &mut Vec<Effect>,
@@ -27,8 +27,10 @@
             "dispatch_to_closed_target"
         } else if !request.rules.home.has(target.region) {
             "dispatch_outside_home_regions"
-        } else if !request.may_send() {
+        } else if !request.may_send(self.faults.resend_unsafe) {
             "dispatch_twice"
+        } else if !self.within_credit(now, index) {
+            "cold_target_without_credit"
         } else if request.stage == Stage::Over {
             "dispatch_after_end"
         } else {
@@ -37,4 +39,13 @@
         self.violation(broken, format!("request {id} target {}", target.label), out);
         false
     }
+
+    /// True unless a target that is not warm would get more work than this entry has credits for.
+    fn within_credit(&self, now: Duration, index: usize) -> bool {
+        let target = &self.fleet.targets[index];
+        self.setup.policy != Policy::Credits
+            || target.is_warm(now)
+            || target.in_flight < target.credit.slots(now)
+            || self.faults.any()
+    }
 }
--- a/control/src/latency.rs
+++ b/control/src/latency.rs
@@ -8,6 +8,9 @@
 /// Weight of a new answer in the baseline.
 const SLOW: f64 = 0.02;
 
+/// Age at which the fast estimate of a target counts as forgotten, so that it is tried again.
+const FORGET: Duration = Duration::from_secs(3);
+
 /// Running estimate of a quantile without stored samples.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct Quantile {
@@ -19,6 +22,9 @@
 /// Quantile after which a hedge is started.
 const HEDGE_QUANTILE: f64 = 0.92;
 
+/// Answers before the quantile is used.
+const SAMPLES_MIN: u64 = 50;
+
 impl Quantile {
     /// Takes one latency.
     pub fn add(&mut self, latency: Duration) {
@@ -37,6 +43,11 @@
         }
     }
 
+    /// Returns the quantile once there are enough samples.
+    pub fn get(&self) -> Option<Duration> {
+        (self.samples >= SAMPLES_MIN).then(|| Duration::from_secs_f64(self.value))
+    }
+
     /// Returns the running mean, zero without samples.
     pub fn mean(&self) -> Duration {
         Duration::from_secs_f64(self.mean)
@@ -81,4 +92,25 @@
         self.last = Some(now);
         far
     }
+
+    /// Returns the expected latency in seconds. An old estimate moves towards `mean`, the one of
+    /// the service; an answer that is overdue raises it.
+    pub fn expected(&self, now: Duration, mean: f64) -> f64 {
+        let base = match self.last {
+            None => mean,
+            Some(last) => {
+                let age = now.saturating_sub(last).as_secs_f64() / FORGET.as_secs_f64();
+                self.fast + (mean - self.fast) * age.min(1.0)
+            }
+        };
+        if self.awaiting == 0 {
+            return base;
+        }
+        base.max(now.saturating_sub(self.awaiting_since).as_secs_f64())
+    }
+
+    /// Returns the fast estimate of the last answers.
+    pub fn recent(&self) -> Option<Duration> {
+        self.last.map(|_| Duration::from_secs_f64(self.fast))
+    }
 }
--- a/control/src/request.rs
+++ b/control/src/request.rs
@@ -127,6 +127,7 @@
 pub(crate) struct Request {
     pub arrival: Arrival,
     pub rules: Rules,
+    pub arrived: Duration,
     pub deadline: Duration,
     pub stage: Stage,
     pub open: Vec<Open>,
@@ -141,10 +142,11 @@
 
 impl Request {
     /// Creates a request that has just arrived.
-    pub fn new(deadline: Duration, arrival: Arrival, rules: Rules) -> Self {
+    pub fn new(now: Duration, deadline: Duration, arrival: Arrival, rules: Rules) -> Self {
         Self {
             arrival,
             rules,
+            arrived: now,
             deadline,
             stage: Stage::Running,
             open: Vec::new(),
@@ -155,10 +157,12 @@
         }
     }
 
-    /// True if another attempt may start with regard to what earlier ones may have done.
-    pub fn may_send(&self) -> bool {
+    /// True if another attempt may start with regard to what earlier ones may have done;
+    /// `resend_unsafe` is the fault that leaves this out of account.
+    pub fn may_send(&self, resend_unsafe: bool) -> bool {
         let again = self.attempts == 0 || self.arrival.replayable;
-        let safe = self.rules.idempotent || (self.exposed == 0 && self.open.is_empty());
+        let safe =
+            resend_unsafe || self.rules.idempotent || (self.exposed == 0 && self.open.is_empty());
         again && safe && !self.rules.orphaned
     }
 }
--- a/control/src/select.rs
+++ b/control/src/select.rs
@@ -8,6 +8,27 @@
 use crate::target::Target;
 use crate::{Policy, State};
 
+/// Round trip between zones of a region.
+const ZONE_ROUND_TRIP: Duration = Duration::from_millis(2);
+
+/// Round trip between regions.
+const REGION_ROUND_TRIP: Duration = Duration::from_millis(24);
+
+/// Expected latency, as a multiple of the service's mean, from which a target counts as stalled.
+const STALL_FACTOR: f64 = 4.0;
+
+/// Expected latency below which no target counts as stalled.
+const STALL_MIN: Duration = Duration::from_millis(30);
+
+/// Multiple of the service's mean latency that a request waits for a target that is not stalled.
+const STALL_PATIENCE: f64 = 2.0;
+
+/// Queueing time after which a warm target whose owner is silent is used without credit.
+const OVERCOMMIT_AFTER: Duration = Duration::from_millis(100);
+
+/// Assumed bytes of an answer on a link between regions; the reducer does not see real sizes.
+const ANSWER_BYTES: u64 = 16 * 1024;
+
 /// Whether a target can take a request now.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Choice {
@@ -21,12 +42,12 @@
 
 impl State {
     /// Chooses a target for a request.
-    pub(crate) fn choose(&mut self, _now: Duration, request: &Request) -> Choice {
+    pub(crate) fn choose(&mut self, now: Duration, request: &Request) -> Choice {
         match self.setup.policy {
-            Policy::Random => self.choose_random(request, 1),
-            Policy::TwoChoices => self.choose_random(request, 2),
-            Policy::StaticShare => self.choose_static(request),
-            Policy::Credits => self.choose_static(request),
+            Policy::Random => self.choose_random(now, request, 1),
+            Policy::TwoChoices => self.choose_random(now, request, 2),
+            Policy::StaticShare => self.choose_static(now, request),
+            Policy::Credits => self.choose_credits(now, request),
         }
     }
 
@@ -38,22 +59,21 @@
             && !request.open.iter().any(|o| o.target == target.id)
     }
 
-    /// Returns the allowed targets of a service, those of this entry's region if there are any.
-    fn candidates(&self, request: &Request) -> Vec<usize> {
+    /// Returns the allowed targets of a service: those of this entry's region if there are any,
+    /// and those that accept connections if there are any.
+    fn candidates(&self, now: Duration, request: &Request) -> Vec<usize> {
         let range = self.fleet.services[request.rules.service].targets.clone();
-        let allowed: Vec<usize> = range
+        let mut found: Vec<usize> = range
             .filter(|i| Self::allowed(&self.fleet.targets[*i], request))
             .collect();
-        let near: Vec<usize> = allowed
-            .iter()
-            .copied()
-            .filter(|i| Some(self.fleet.targets[*i].region) == self.region)
-            .collect();
-        if near.is_empty() { allowed } else { near }
+        let targets = &self.fleet.targets;
+        prefer(&mut found, |i| Some(targets[i].region) == self.region);
+        prefer(&mut found, |i| !targets[i].is_down(now));
+        found
     }
 
-    fn choose_random(&mut self, request: &Request, draws: usize) -> Choice {
-        let candidates = self.candidates(request);
+    fn choose_random(&mut self, now: Duration, request: &Request, draws: usize) -> Choice {
+        let candidates = self.candidates(now, request);
         if candidates.is_empty() {
             return Choice::Nowhere;
         }
@@ -68,8 +88,8 @@
         Choice::Target(best, reason)
     }
 
-    fn choose_static(&mut self, request: &Request) -> Choice {
-        let candidates = self.candidates(request);
+    fn choose_static(&mut self, now: Duration, request: &Request) -> Choice {
+        let candidates = self.candidates(now, request);
         if candidates.is_empty() {
             return Choice::Nowhere;
         }
@@ -88,4 +108,106 @@
             None => Choice::Busy,
         }
     }
+
+    /// Chooses by credits: a target of this region before one of another, a prompt one before a
+    /// stalled one, and among these the one with the shortest expected latency.
+    fn choose_credits(&mut self, now: Duration, request: &Request) -> Choice {
+        let service = request.rules.service;
+        let mean = self.fleet.services[service].latency.mean().as_secs_f64();
+        let patient = now.saturating_sub(request.arrived).as_secs_f64() < STALL_PATIENCE * mean;
+        let mut any = false;
+        let mut best: Option<(bool, f64, usize, &'static str)> = None;
+        for index in self.fleet.services[service].targets.clone() {
+            let target = &self.fleet.targets[index];
+            if !Self::allowed(target, request) {
+                continue;
+            }
+            any = true;
+            let Some(reason) = self.slot(now, index, request) else {
+                continue;
+            };
+            let expected = target.latency.expected(now, mean);
+            let stalled = expected > (STALL_FACTOR * mean).max(STALL_MIN.as_secs_f64());
+            if stalled && patient {
+                continue;
+            }
+            let remote = Some(target.region) != self.region;
+            let cost = expected + self.distance(target);
+            let better = best.is_none_or(|(r, c, ..)| (remote, cost) < (r, c));
+            if better {
+                best = Some((remote, cost, index, reason));
+            }
+        }
+        match best {
+            Some((true, _, index, reason)) => {
+                if self.spend_link(now, request) {
+                    Choice::Target(index, reason)
+                } else {
+                    Choice::Busy
+                }
+            }
+            Some((false, _, index, reason)) => Choice::Target(index, reason),
+            None if any => Choice::Busy,
+            None => Choice::Nowhere,
+        }
+    }
+
+    /// Returns why this entry may use a slot of the target now, if it may.
+    pub(crate) fn slot(
+        &self,
+        now: Duration,
+        index: usize,
+        request: &Request,
+    ) -> Option<&'static str> {
+        let target = &self.fleet.targets[index];
+        let credit = &target.credit;
+        let slots = if self.faults.ignore_expiry {
+            credit.slots_ever()
+        } else {
+            credit.slots(now)
+        };
+        if target.in_flight < slots {
+            return Some("credit");
+        }
+        if Some(target.region) != self.region || !target.is_warm(now) {
+            return None;
+        }
+        let share = (target.slots / self.entries_here).max(1);
+        if !credit.owner_present(now) {
+            return (target.in_flight < share).then_some("static_share");
+        }
+        // The owner has gone silent; its last grant is still in force but may be far too small.
+        let waited = now.saturating_sub(request.arrived) > OVERCOMMIT_AFTER;
+        (waited && credit.overdue(now) && target.in_flight < share).then_some("overcommit")
+    }
+
+    /// Returns the network delay there and back in seconds.
+    fn distance(&self, target: &Target) -> f64 {
+        if Some(target.zone) == self.zone {
+            0.0
+        } else if Some(target.region) == self.region {
+            ZONE_ROUND_TRIP.as_secs_f64()
+        } else {
+            REGION_ROUND_TRIP.as_secs_f64()
+        }
+    }
+
+    /// Spends the budget of links between regions for one request.
+    fn spend_link(&mut self, now: Duration, request: &Request) -> bool {
+        let Some(bundle) = self.bundle() else {
+            return false;
+        };
+        let per_second = f64::from(bundle.limits.interregion_mbit_s) * 1e6 / 8.0;
+        let bytes = request.arrival.body_bytes.unwrap_or(ANSWER_BYTES) + ANSWER_BYTES;
+        let cost = bytes as f64;
+        self.link
+            .spend(now, per_second, (per_second / 4.0).max(cost), cost)
+    }
+}
+
+/// Keeps the items for which `keep` is true if there are any.
+fn prefer(items: &mut Vec<usize>, keep: impl Fn(usize) -> bool) {
+    if items.iter().any(|i| keep(*i)) {
+        items.retain(|i| keep(*i));
+    }
 }
--- a/control/src/target.rs
+++ b/control/src/target.rs
@@ -1,29 +1,22 @@
-//! What this entry knows about one target: the state machine of its load state.
+//! What this entry knows about one target, and the cap that follows from it.
+
+mod evidence;
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lacewingmoor_bundle::{RegionId, Service, TargetId, ZoneId};
+use lacewingmoor_bundle::{NodeId, RegionId, Service, TargetId, ZoneId};
 
+use crate::credit::Lender;
+use crate::demand::Credit;
 use crate::latency::Latency;
-use crate::{LoadReport, Sight, TargetState};
-
-/// Longest time between two successful answers that counts towards warming up.
-const WARM_GAP_MAX: Duration = Duration::from_millis(500);
+use crate::owner::Lease;
+use crate::probe::Probing;
+use crate::{Sight, TargetState};
 
 /// Time for one slot to come back after a target shed.
 const SHED_RECOVERY: Duration = Duration::from_millis(500);
 
-/// Time within which further sheds belong to the same overload.
-const SHED_GROUP: Duration = Duration::from_millis(100);
-
-/// First and longest wait before a refused target is tried again.
-const DOWN_MIN: Duration = Duration::from_millis(250);
-const DOWN_MAX: Duration = Duration::from_secs(2);
-
-/// Slow or failed answers in a row that make a warm target count as cold again.
-const COLLAPSE_STREAK: u32 = 4;
-
 /// Phase of the warm-up.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Phase {
@@ -77,8 +70,22 @@
     shed: Option<Shed>,
     streak: u32,
     failed: u32,
-    /// Time of the last load report.
-    pub reported: Option<Duration>,
+    /// Time of the last load report, or of an answer that another entry told of.
+    pub evidence: Option<Duration>,
+    /// What this entry saw last that its owner has not confirmed.
+    pub unheard: Option<Sight>,
+    /// Entry that is ranked first among those alive.
+    pub ranked: Option<NodeId>,
+    /// Ownership by this entry.
+    pub lease: Lease,
+    /// Books of this entry as the owner.
+    pub lender: Lender,
+    /// Cap at the last division.
+    pub divided_cap: u32,
+    /// Probing by this entry as the owner.
+    pub probe: Probing,
+    /// Credits of this entry.
+    pub credit: Credit,
 }
 
 impl Target {
@@ -115,7 +122,14 @@
             shed: None,
             streak: 0,
             failed: 0,
-            reported: None,
+            evidence: None,
+            unheard: None,
+            ranked: None,
+            lease: Lease::default(),
+            lender: Lender::default(),
+            divided_cap: 0,
+            probe: Probing::default(),
+            credit: Credit::default(),
         }
     }
 
@@ -236,168 +250,4 @@
         self.draining = false;
         self.shed = None;
     }
-
-    /// Takes an answer to an attempt that was sent at `sent`; returns what its owner should know.
-    pub fn answered(
-        &mut self,
-        now: Duration,
-        sent: Duration,
-        success: bool,
-        report: Option<&LoadReport>,
-    ) -> Option<Sight> {
-        let far = self.latency.add(now, now.saturating_sub(sent));
-        if sent < self.since {
-            return None;
-        }
-        if let Some(sight) = report.and_then(|r| self.reported(now, r)) {
-            return Some(sight);
-        }
-        if success {
-            self.down = None;
-            self.progress(now);
-        }
-        if far || !success {
-            return self.bad_answer(now, !success);
-        }
-        self.streak = 0;
-        self.failed = 0;
-        None
-    }
-
-    /// Takes a load report that was asked for after the last change.
-    pub fn reported(&mut self, now: Duration, report: &LoadReport) -> Option<Sight> {
-        self.reported = Some(now);
-        let restarted = self.start.is_some_and(|s| s != report.start);
-        self.start = Some(report.start);
-        if restarted {
-            self.turn_cold(now);
-            return Some(Sight::Restarted {
-                start: report.start,
-            });
-        }
-        match report.state {
-            TargetState::Draining | TargetState::Leaving => {
-                let news = !self.draining;
-                self.draining = true;
-                return news.then_some(Sight::Draining);
-            }
-            TargetState::Cold if self.unknown => self.turn_cold(now),
-            TargetState::Cold if self.phase == Phase::Warm => {
-                self.turn_cold(now);
-                return Some(Sight::Collapsed);
-            }
-            TargetState::Warm if self.unknown => {
-                self.phase = Phase::Warm;
-                self.unknown = false;
-            }
-            _ => {}
-        }
-        self.draining = false;
-        None
-    }
-
-    /// Advances the warm-up by successful answers, also those that other entries tell of.
-    pub fn progress(&mut self, now: Duration) {
-        let gap = now.saturating_sub(self.last_success).min(WARM_GAP_MAX);
-        self.last_success = now;
-        match self.phase {
-            Phase::Cold => self.phase = Phase::Warming,
-            Phase::Warming => {
-                self.warm_time += gap;
-                if self.warm_time >= self.warmup {
-                    self.phase = Phase::Warm;
-                    self.unknown = false;
-                }
-            }
-            Phase::Warm => {}
-        }
-    }
-
-    /// Notes a failed attempt, or an answer that is far too slow.
-    pub fn bad_answer(&mut self, now: Duration, failed: bool) -> Option<Sight> {
-        self.streak += 1;
-        self.failed += u32::from(failed);
-        if self.phase != Phase::Warm || self.streak < COLLAPSE_STREAK || self.failed < 2 {
-            return None;
-        }
-        self.turn_cold(now);
-        Some(Sight::Collapsed)
-    }
-
-    /// Notes a refused connection.
-    pub fn refused(&mut self, now: Duration) -> Option<Sight> {
-        let wait = match &self.down {
-            Some(down) if now < down.until => return None,
-            Some(down) => (down.wait * 2).min(DOWN_MAX),
-            None => DOWN_MIN,
-        };
-        self.turn_cold(now);
-        self.down = Some(Down {
-            until: now + wait,
-            wait,
-        });
-        Some(Sight::Refused)
-    }
-
-    /// Notes that the target accepts connections again.
-    pub fn reachable(&mut self) {
-        self.down = None;
-    }
-
-    /// True if the target refused connections and has not answered since.
-    pub fn suspected(&self) -> bool {
-        self.down.is_some()
-    }
-
-    /// Notes that the target declared a request unrun.
-    pub fn shed(&mut self, now: Duration) -> Option<Sight> {
-        if let Some(shed) = &self.shed
-            && now.saturating_sub(shed.at) < SHED_GROUP
-        {
-            return None;
-        }
-        let limit = (self.ramp().min(self.shed_limit(now)) / 2).max(1);
-        self.shed = Some(Shed { limit, at: now });
-        Some(Sight::Shed)
-    }
-
-    /// Takes what another entry saw.
-    pub fn observed(&mut self, now: Duration, sight: &Sight) {
-        match sight {
-            Sight::Refused => {
-                self.refused(now);
-            }
-            Sight::Shed => {
-                self.shed(now);
-            }
-            Sight::Restarted { start } => {
-                if self.start != Some(*start) {
-                    self.start = Some(*start);
-                    self.turn_cold(now);
-                }
-            }
-            Sight::Draining => self.draining = true,
-            Sight::Collapsed if self.phase == Phase::Warm => self.turn_cold(now),
-            Sight::Collapsed => {}
-        }
-    }
-
-    /// Takes the state that the owner tells, unless this entry saw something worse after it asked.
-    pub fn told(&mut self, now: Duration, asked: Duration, state: TargetState) {
-        if asked < self.since {
-            return;
-        }
-        self.unknown = false;
-        self.draining = state == TargetState::Draining;
-        match state {
-            TargetState::Warm => self.phase = Phase::Warm,
-            TargetState::Cold | TargetState::Warming if self.phase == Phase::Warm => {
-                self.turn_cold(now);
-                if state == TargetState::Warming {
-                    self.phase = Phase::Warming;
-                }
-            }
-            _ => {}
-        }
-    }
 }
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! Shared parts of the tests: a small bundle and an entry that is driven by hand.
 #![allow(dead_code)]
 
+pub mod sim;
+
 use std::sync::Arc;
 use std::time::Duration;
 
--- /dev/null
+++ b/control/tests/common/sim.rs
@@ -0,0 +1,553 @@
+//! Several entries joined by a message queue with delay, loss, reordering, freezes and restarts,
+//! and targets that count what they run. Everything follows from the seed.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap};
+use std::sync::Arc;
+use std::time::Duration;
+
+use lacewingmoor_bundle::{Bundle, NodeId, TargetId, node_id};
+use lacewingmoor_control::*;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+
+use super::{bundle, ms, vm_list, with_probe};
+
+/// Broken promises that a run has found, by check, with the first instance of each.
+pub type Failures = BTreeMap<&'static str, String>;
+
+/// What a run has done, so that a test can tell that it was not empty.
+#[derive(Debug, Default)]
+pub struct Summary {
+    pub arrived: u64,
+    pub completed: u64,
+    pub refused: u64,
+    pub probes: u64,
+    pub granted: u64,
+    pub owners: u64,
+}
+
+/// What happens at a time.
+enum Item {
+    Deliver(usize, u64, Event),
+    Execute(usize, u64, Dispatch),
+    Cancel(usize, u64, RequestId, Attempt),
+    Finish(usize, u64, RequestId, Attempt),
+    Wake(usize, u64),
+    Arrive,
+    Fault,
+    Confirm,
+}
+
+struct Node {
+    name: String,
+    state: State,
+    boot: Duration,
+    incarnation: u64,
+    frozen_until: Duration,
+    wake_at: Duration,
+    open: BTreeMap<RequestId, bool>,
+}
+
+/// The fleet under test.
+pub struct Sim {
+    now: Duration,
+    end: Duration,
+    seq: u64,
+    items: BinaryHeap<Reverse<(Duration, u64, usize)>>,
+    slab: BTreeMap<usize, Item>,
+    rng: StdRng,
+    nodes: Vec<Node>,
+    bundle: Arc<Bundle>,
+    faults: Faults,
+    leaving: Option<usize>,
+    blocked: Option<(usize, usize, Duration)>,
+    running: BTreeMap<(usize, u64, RequestId, Attempt), TargetId>,
+    down_until: BTreeMap<TargetId, Duration>,
+    executed: BTreeMap<(usize, u64, RequestId), u32>,
+    methods: BTreeMap<(usize, u64, RequestId), bool>,
+    probed: BTreeMap<TargetId, Duration>,
+    granted: BTreeMap<TargetId, BTreeMap<(usize, u64), Duration>>,
+    next_request: RequestId,
+    failures: Failures,
+    pub summary: Summary,
+}
+
+const ENTRIES: [&str; 5] = ["e1", "e2", "e3", "e4", "e5"];
+
+impl Sim {
+    /// Builds a fleet of five entries and six targets. `cold` keeps the targets cold for ever, so
+    /// that their cap is known exactly.
+    pub fn new(seed: u64, cold: bool, faults: Faults) -> Self {
+        let targets = [
+            ("t1", 0),
+            ("t2", 0),
+            ("t3", 1),
+            ("t4", 1),
+            ("t5", 0),
+            ("t6", 1),
+        ];
+        let mut bundle = with_probe(bundle(1, &targets), 5);
+        bundle.services[0].cold_slots = 2;
+        bundle.services[0].warmup = ms(if cold { 10_000_000 } else { 800 });
+        bundle.limits.queue_max = 50;
+        let mut sim = Self {
+            now: Duration::ZERO,
+            end: ms(30_000),
+            seq: 0,
+            items: BinaryHeap::new(),
+            slab: BTreeMap::new(),
+            rng: StdRng::seed_from_u64(seed),
+            nodes: Vec::new(),
+            bundle: Arc::new(bundle),
+            faults,
+            leaving: None,
+            blocked: None,
+            running: BTreeMap::new(),
+            down_until: BTreeMap::new(),
+            executed: BTreeMap::new(),
+            methods: BTreeMap::new(),
+            probed: BTreeMap::new(),
+            granted: BTreeMap::new(),
+            next_request: 1,
+            failures: Failures::new(),
+            summary: Summary::default(),
+        };
+        for i in 0..ENTRIES.len() {
+            let node = sim.boot(i, 1);
+            sim.nodes.push(node);
+            sim.inform(i);
+        }
+        sim.push(ms(1), Item::Confirm);
+        sim.push(ms(3000), Item::Arrive);
+        sim.push(ms(3000), Item::Fault);
+        sim
+    }
+
+    fn boot(&mut self, i: usize, incarnation: u64) -> Node {
+        let setup = Setup {
+            name: ENTRIES[i].into(),
+            zone: ["a", "b"][i % 2].into(),
+            region: "north".into(),
+            incarnation,
+            policy: Policy::Credits,
+            seed: self.rng.random(),
+        };
+        Node {
+            name: ENTRIES[i].into(),
+            state: State::with_faults(setup, self.faults),
+            boot: self.now,
+            incarnation,
+            frozen_until: Duration::ZERO,
+            wake_at: Duration::MAX,
+            open: BTreeMap::new(),
+        }
+    }
+
+    /// Runs to the end; faults and arrivals stop a while before it.
+    pub fn run(mut self) -> Result<Summary, Failures> {
+        while let Some(Reverse((at, _, key))) = self.items.pop() {
+            if at > self.end {
+                break;
+            }
+            self.now = at;
+            let item = self.slab.remove(&key).expect("every key has an item");
+            self.step(item);
+        }
+        for i in 0..self.nodes.len() {
+            let left = self.nodes[i].open.iter().find(|(_, over)| !**over);
+            if let Some(id) = left.map(|(id, _)| *id) {
+                self.fail("request_never_ends", format!("request {id} at entry {i}"));
+            }
+        }
+        if self.failures.is_empty() {
+            Ok(self.summary)
+        } else {
+            Err(self.failures)
+        }
+    }
+
+    fn push(&mut self, at: Duration, item: Item) {
+        self.seq += 1;
+        let key = self.seq as usize;
+        self.items.push(Reverse((at, self.seq, key)));
+        self.slab.insert(key, item);
+    }
+
+    fn after(&mut self, us_min: u64, us_max: u64) -> Duration {
+        self.now + Duration::from_micros(self.rng.random_range(us_min..=us_max))
+    }
+
+    fn fail(&mut self, check: &'static str, detail: String) {
+        let detail = format!("at {:?}: {detail}", self.now);
+        self.failures.entry(check).or_insert(detail);
+    }
+
+    fn step(&mut self, item: Item) {
+        let node = match &item {
+            Item::Deliver(i, inc, _)
+            | Item::Execute(i, inc, _)
+            | Item::Cancel(i, inc, ..)
+            | Item::Wake(i, inc) => Some((*i, *inc)),
+            _ => None,
+        };
+        if let Some((i, incarnation)) = node {
+            if self.nodes[i].incarnation != incarnation {
+                return;
+            }
+            if self.now < self.nodes[i].frozen_until {
+                let at = self.nodes[i].frozen_until;
+                return self.push(at, item);
+            }
+        }
+        match item {
+            Item::Deliver(i, _, event) => self.apply(i, event),
+            Item::Execute(i, inc, dispatch) => self.execute(i, inc, &dispatch),
+            Item::Cancel(i, inc, id, attempt) => {
+                if self.running.remove(&(i, inc, id, attempt)).is_some() {
+                    self.end_attempt(i, id, attempt, Outcome::Cancelled);
+                }
+            }
+            Item::Finish(i, inc, id, attempt) => self.finish(i, inc, id, attempt),
+            // An earlier wake-up has taken the place of this one.
+            Item::Wake(i, _) if self.nodes[i].wake_at > self.now => {}
+            Item::Wake(i, _) => {
+                self.nodes[i].wake_at = Duration::MAX;
+                self.apply(i, Event::Tick);
+            }
+            Item::Arrive => self.arrive(),
+            Item::Fault => self.fault(),
+            Item::Confirm => self.confirm(),
+        }
+    }
+
+    fn apply(&mut self, i: usize, event: Event) {
+        let local = self.now - self.nodes[i].boot;
+        let effects = self.nodes[i].state.apply(local, event);
+        let incarnation = self.nodes[i].incarnation;
+        for effect in effects {
+            self.carry_out(i, incarnation, effect);
+        }
+        if let Some(at) = self.nodes[i].state.next_wakeup() {
+            let at = (self.nodes[i].boot + at).max(self.now + Duration::from_micros(50));
+            if at < self.nodes[i].wake_at {
+                self.nodes[i].wake_at = at;
+                self.push(at, Item::Wake(i, incarnation));
+            }
+        }
+    }
+
+    fn carry_out(&mut self, i: usize, incarnation: u64, effect: Effect) {
+        match effect {
+            Effect::Dispatch(dispatch) => {
+                let at = self.after(0, 100);
+                self.push(at, Item::Execute(i, incarnation, dispatch));
+            }
+            Effect::Cancel { request, attempt } => {
+                let at = self.after(500, 1000);
+                self.push(at, Item::Cancel(i, incarnation, request, attempt));
+            }
+            Effect::Refuse(refusal) => self.refused(i, refusal.request),
+            Effect::Send { to, message } => self.send(i, incarnation, to, message),
+            Effect::Probe { target, .. } => self.probe(i, incarnation, target),
+            Effect::FetchBundle { .. } => {
+                let event = Event::Bundle(Arc::clone(&self.bundle));
+                let at = self.after(1000, 5000);
+                self.push(at, Item::Deliver(i, incarnation, event));
+            }
+            Effect::Violation(v) => self.fail(v.invariant, v.detail),
+            Effect::Log(d) if d.kind == DecisionKind::Owner => self.summary.owners += 1,
+            _ => {}
+        }
+    }
+
+    fn send(&mut self, i: usize, incarnation: u64, to: NodeId, message: Message) {
+        if let Message::Grant { items, .. } = &message {
+            for item in items {
+                self.check_grant(i, incarnation, item);
+            }
+        }
+        let Some(j) = self.nodes.iter().position(|n| node_id(&n.name) == to) else {
+            return;
+        };
+        // One direction only, as a partition may cut just one.
+        let cut = self
+            .blocked
+            .is_some_and(|(a, b, until)| (a, b) == (i, j) && self.now < until);
+        if cut || self.rng.random_bool(0.02) {
+            return;
+        }
+        let event = Event::Peer {
+            from: node_id(&self.nodes[i].name),
+            incarnation,
+            message,
+        };
+        let at = self.after(500, 3000);
+        self.push(at, Item::Deliver(j, self.nodes[j].incarnation, event));
+    }
+
+    /// Grants of one owner have to be out of force before another one grants.
+    fn check_grant(&mut self, i: usize, incarnation: u64, item: &GrantItem) {
+        self.summary.granted += u64::from(item.slots);
+        let now = self.now;
+        let owners = self.granted.entry(item.target).or_default();
+        let other = owners
+            .iter()
+            .find(|(owner, at)| **owner != (i, incarnation) && now - **at < GRANT_TTL);
+        let detail = other.map(|(owner, at)| format!("{i} and {} at {at:?}", owner.0));
+        owners.insert((i, incarnation), now);
+        if let Some(detail) = detail {
+            self.fail("two_owners", detail);
+        }
+    }
+
+    fn probe(&mut self, i: usize, incarnation: u64, target: TargetId) {
+        self.summary.probes += 1;
+        let service = &self.bundle.services[0];
+        let probe = service.probe.as_ref().expect("the service is probed");
+        let rate = f64::from(probe.budget_permille * service.slots) / 1000.0;
+        let apart = probe.cost.as_secs_f64() / rate;
+        let last = self.probed.insert(target, self.now);
+        if let Some(last) = last
+            && (self.now - last).as_secs_f64() < apart - 1e-6
+        {
+            self.fail("probe_spacing", format!("{last:?}"));
+        }
+        let up = self.is_up(target);
+        let report = up.then(|| self.report(target));
+        let at = self.after(1000, 8000);
+        let event = Event::Probed { target, report };
+        self.push(at, Item::Deliver(i, incarnation, event));
+    }
+
+    fn report(&self, target: TargetId) -> LoadReport {
+        let up_since = self.down_until.get(&target).copied();
+        let warmup = self.bundle.services[0].warmup;
+        let cold = warmup > self.end || up_since.is_some_and(|at| self.now < at + warmup);
+        LoadReport {
+            state: if cold {
+                TargetState::Cold
+            } else {
+                TargetState::Warm
+            },
+            in_flight: self.in_flight(target),
+            queue: 0,
+            start: up_since.map_or(1, |at| at.as_micros() as u64),
+        }
+    }
+
+    fn is_up(&self, target: TargetId) -> bool {
+        self.down_until.get(&target).is_none_or(|d| *d <= self.now)
+    }
+
+    fn in_flight(&self, target: TargetId) -> u32 {
+        self.running.values().filter(|t| **t == target).count() as u32
+    }
+
+    fn execute(&mut self, i: usize, incarnation: u64, dispatch: &Dispatch) {
+        let local = self.now - self.nodes[i].boot;
+        let (id, attempt, target) = (dispatch.request, dispatch.attempt, dispatch.target);
+        if local > dispatch.not_after && !self.faults.ignore_expiry {
+            return self.end_attempt(i, id, attempt, Outcome::Expired);
+        }
+        if !self.is_up(target) {
+            return self.end_attempt(i, id, attempt, Outcome::NotSent);
+        }
+        if self.rng.random_bool(0.01) {
+            return self.end_attempt(i, id, attempt, Outcome::Shed);
+        }
+        let service = &self.bundle.services[0];
+        let cap = if service.warmup > self.end {
+            service.cold_slots
+        } else {
+            u32::MAX
+        };
+        if self.in_flight(target) >= cap {
+            self.fail("cold_target_overloaded", format!("entry {i} request {id}"));
+        }
+        let runs = self.executed.entry((i, incarnation, id)).or_default();
+        *runs += 1;
+        let idempotent = self.methods[&(i, incarnation, id)];
+        if *runs > 1 && !idempotent {
+            self.fail("ran_twice", format!("entry {i} request {id}"));
+        }
+        self.running.insert((i, incarnation, id, attempt), target);
+        let long = self.rng.random_bool(0.03);
+        let at = if long {
+            self.after(200_000, 900_000)
+        } else {
+            self.after(3_000, 40_000)
+        };
+        self.push(at, Item::Finish(i, incarnation, id, attempt));
+    }
+
+    fn finish(&mut self, i: usize, incarnation: u64, id: RequestId, attempt: Attempt) {
+        let Some(target) = self.running.remove(&(i, incarnation, id, attempt)) else {
+            return;
+        };
+        if self.nodes[i].incarnation != incarnation {
+            return;
+        }
+        if self.rng.random_bool(0.02) {
+            return self.end_attempt(i, id, attempt, Outcome::Broken);
+        }
+        let head = Event::Head {
+            request: id,
+            attempt,
+            status: 200,
+            report: Some(self.report(target)),
+        };
+        let at = self.after(500, 1000);
+        self.push(at, Item::Deliver(i, incarnation, head));
+        let ended = Event::Ended {
+            request: id,
+            attempt,
+            outcome: Outcome::Complete,
+        };
+        self.push(at, Item::Deliver(i, incarnation, ended));
+        self.completed(i, id);
+    }
+
+    fn end_attempt(&mut self, i: usize, id: RequestId, attempt: Attempt, outcome: Outcome) {
+        let event = Event::Ended {
+            request: id,
+            attempt,
+            outcome,
+        };
+        let at = self.after(100, 1000);
+        let incarnation = self.nodes[i].incarnation;
+        self.push(at, Item::Deliver(i, incarnation, event));
+    }
+
+    /// Notes that the caller has its answer, unless it was refused before.
+    fn completed(&mut self, i: usize, id: RequestId) {
+        if let Some(over) = self.nodes[i].open.get_mut(&id)
+            && !*over
+        {
+            *over = true;
+            self.summary.completed += 1;
+        }
+    }
+
+    fn refused(&mut self, i: usize, id: RequestId) {
+        self.summary.refused += 1;
+        // A late answer and a refusal may cross on the way; two refusals may not.
+        if self.nodes[i].open.insert(id, true).is_none() {
+            self.fail("refused_unknown", format!("request {id}"));
+        }
+    }
+
+    fn arrive(&mut self) {
+        if self.now + ms(6000) > self.end {
+            return;
+        }
+        let i = self.rng.random_range(0..self.nodes.len());
+        let id = self.next_request;
+        self.next_request += 1;
+        self.summary.arrived += 1;
+        let idempotent = self.rng.random_bool(0.5);
+        let incarnation = self.nodes[i].incarnation;
+        self.methods.insert((i, incarnation, id), idempotent);
+        self.nodes[i].open.insert(id, false);
+        let (method, path) = if idempotent {
+            ("GET", "/find")
+        } else {
+            ("POST", "/book")
+        };
+        let event = Event::Arrived(Arrival {
+            request: id,
+            method: method.into(),
+            path: path.into(),
+            tenant: None,
+            body_bytes: Some(0),
+            deadline: None,
+            replayable: true,
+        });
+        self.push(self.now, Item::Deliver(i, incarnation, event));
+        let at = self.after(400, 12_000);
+        self.push(at, Item::Arrive);
+    }
+
+    fn fault(&mut self) {
+        if self.now + ms(15_000) > self.end {
+            return;
+        }
+        let i = self.rng.random_range(0..self.nodes.len());
+        match self.rng.random_range(0..6) {
+            0 | 1 => self.nodes[i].frozen_until = self.after(300_000, 8_000_000),
+            2 => self.restart(i),
+            3 => {
+                let j = self.rng.random_range(0..self.nodes.len());
+                let until = self.after(500_000, 4_000_000);
+                self.blocked = Some((i, j, until));
+            }
+            4 => {
+                let targets = &self.bundle.services[0].targets;
+                let target = targets[self.rng.random_range(0..targets.len())].id;
+                self.crash(target);
+            }
+            _ => {
+                self.leaving = if self.leaving.is_none() {
+                    Some(i)
+                } else {
+                    None
+                };
+                (0..self.nodes.len()).for_each(|i| self.inform(i));
+            }
+        }
+        let at = self.after(400_000, 2_500_000);
+        self.push(at, Item::Fault);
+    }
+
+    fn restart(&mut self, i: usize) {
+        let incarnation = self.nodes[i].incarnation + 1;
+        self.running.retain(|(node, ..), _| *node != i);
+        self.nodes[i] = self.boot(i, incarnation);
+        self.inform(i);
+    }
+
+    fn crash(&mut self, target: TargetId) {
+        let until = self.after(50_000, 1_000_000);
+        self.down_until.insert(target, until);
+        let hit: Vec<_> = self
+            .running
+            .iter()
+            .filter(|(_, t)| **t == target)
+            .map(|(k, _)| *k)
+            .collect();
+        for key in hit {
+            self.running.remove(&key);
+            if self.nodes[key.0].incarnation == key.1 {
+                self.end_attempt(key.0, key.2, key.3, Outcome::Broken);
+            }
+        }
+    }
+
+    /// Gives an entry the VM list and the bundle, each with its own lag.
+    fn inform(&mut self, i: usize) {
+        let mut vms = vm_list(&ENTRIES, &[]);
+        for (k, vm) in vms.iter_mut().enumerate() {
+            vm.zone = ["a", "b"][k % 2].into();
+            vm.leaving = self.leaving == Some(k);
+        }
+        let incarnation = self.nodes[i].incarnation;
+        let at = self.after(1_000, 400_000);
+        self.push(at, Item::Deliver(i, incarnation, Event::VmList(vms)));
+        let bundle = Event::Bundle(Arc::clone(&self.bundle));
+        let at = self.after(1_000, 50_000);
+        self.push(at, Item::Deliver(i, incarnation, bundle));
+    }
+
+    /// Lets every entry hear from the store.
+    fn confirm(&mut self) {
+        for i in 0..self.nodes.len() {
+            let event = Event::StoreReached {
+                as_of: self.now - self.nodes[i].boot,
+                version: self.bundle.version,
+                digest: self.bundle.digest,
+            };
+            self.push(self.now, Item::Deliver(i, self.nodes[i].incarnation, event));
+        }
+        self.push(self.now + ms(500), Item::Confirm);
+    }
+}
--- /dev/null
+++ b/control/tests/fleet.rs
@@ -0,0 +1,67 @@
+//! Randomised runs of several entries with faults.
+
+mod common;
+
+use common::sim::{Failures, Sim, Summary};
+use lacewingmoor_control::Faults;
+use rstest::rstest;
+
+/// Seeds of the normal run; `LACEWINGMOOR_SEEDS=n` runs the seeds from 1 to n instead.
+const SEEDS: u64 = 6;
+
+fn seeds() -> u64 {
+    let given = std::env::var("LACEWINGMOOR_SEEDS").ok();
+    given.and_then(|n| n.parse().ok()).unwrap_or(SEEDS)
+}
+
+fn run(seed: u64, cold: bool, faults: Faults) -> Result<Summary, Failures> {
+    Sim::new(seed, cold, faults).run()
+}
+
+/// Guards against overload of cold targets, two owners, probes beyond the budget, repeated
+/// bookings and lost requests when entries freeze, restart or lose messages.
+#[rstest]
+fn fleet_keeps_its_promises(#[values(true, false)] cold: bool) {
+    for seed in 1..=seeds() {
+        match run(seed, cold, Faults::default()) {
+            Ok(summary) => {
+                println!("seed {seed} cold {cold}: {summary:?}");
+                assert!(
+                    summary.completed > summary.arrived / 4,
+                    "seed {seed}: {summary:?}"
+                );
+                assert!(summary.probes > 0, "seed {seed}: {summary:?}");
+            }
+            Err(failures) => panic!("seed {seed} cold {cold}: {failures:?}"),
+        }
+    }
+}
+
+struct Off {
+    mechanism: &'static str,
+    faults: Faults,
+    check: &'static str,
+}
+
+/// Guards against checks that cannot fail: with a mechanism off, its check has to notice.
+#[rstest]
+#[case(Off { mechanism: "votes", check: "two_owners",
+    faults: Faults { skip_votes: true, ..Faults::default() } })]
+#[case(Off { mechanism: "credit expiry", check: "cold_target_overloaded",
+    faults: Faults { ignore_expiry: true, ..Faults::default() } })]
+#[case(Off { mechanism: "takeover wait", check: "two_owners",
+    faults: Faults { skip_takeover_wait: true, ..Faults::default() } })]
+#[case(Off { mechanism: "confirmed return of slots", check: "cold_target_overloaded",
+    faults: Faults { ignore_outstanding: true, ..Faults::default() } })]
+#[case(Off { mechanism: "probe budget", check: "probe_spacing",
+    faults: Faults { ignore_probe_budget: true, ..Faults::default() } })]
+#[case(Off { mechanism: "at most once", check: "ran_twice",
+    faults: Faults { resend_unsafe: true, ..Faults::default() } })]
+fn checks_notice_a_mechanism_that_is_off(#[case] off: Off) {
+    let seeds = 1..=8;
+    let seen: Vec<Failures> = seeds
+        .filter_map(|seed| run(seed, true, off.faults).err())
+        .collect();
+    let found = seen.iter().any(|failures| failures.contains_key(off.check));
+    assert!(found, "{} off: {seen:?}", off.mechanism);
+}
