--- a/entry/src/peer_listen.rs
+++ b/entry/src/peer_listen.rs
@@ -71,7 +71,7 @@
     }
 
     /// Registers a session in place of an older one of the same node.
-    fn begin(&self, peer: Identity) -> (u64, oneshot::Receiver<()>) {
+    fn begin(&self, peer: Identity) -> (Registered<'_>, oneshot::Receiver<()>) {
         let (end, ended) = oneshot::channel();
         let mut sessions = self.sessions();
         sessions.next += 1;
@@ -80,16 +80,32 @@
         if older.is_some_and(|(_, older, _)| older.incarnation != peer.incarnation) {
             info!(self.log, "peer restarted"; "peer" => format!("{:016x}", peer.node));
         }
-        (number, ended)
+        let registered = Registered {
+            listener: self,
+            peer,
+            number,
+        };
+        (registered, ended)
     }
+}
 
-    /// Removes a session; the reducer is told unless a newer one has taken its place.
-    fn end(&self, peer: Identity, number: u64) {
-        let mut sessions = self.sessions();
-        let current = sessions.current.get(&peer.node);
-        if current.is_some_and(|(n, _, _)| *n == number) {
-            sessions.current.remove(&peer.node);
-            self.events.send(Event::PeerDown { node: peer.node });
+/// A session in [`Sessions`]. It is removed on drop, because a session also ends when its
+/// connection does and its task is dropped.
+struct Registered<'a> {
+    listener: &'a Listener,
+    peer: Identity,
+    number: u64,
+}
+
+impl Drop for Registered<'_> {
+    /// Tells the reducer, unless a newer session has taken this one's place.
+    fn drop(&mut self) {
+        let node = self.peer.node;
+        let mut sessions = self.listener.sessions();
+        let current = sessions.current.get(&node);
+        if current.is_some_and(|(number, _, _)| *number == self.number) {
+            sessions.current.remove(&node);
+            self.listener.events.send(Event::PeerDown { node });
         }
     }
 }
@@ -169,13 +185,11 @@
     reader.authenticate(authenticated.dialler.clone());
     let peer = authenticated.peer;
     let _ = session.set(authenticated);
-    let (number, replaced) = listener.begin(peer);
-    let result = tokio::select! {
+    let (_registered, replaced) = listener.begin(peer);
+    tokio::select! {
         error = receive(listener, peer, &mut reader) => Err(error),
         _ = replaced => Ok(()),
-    };
-    listener.end(peer, number);
-    result
+    }
 }
 
 async fn handshake(
