--- a/entry/src/head.rs
+++ b/entry/src/head.rs
@@ -8,7 +8,9 @@
     HeaderValue, PROXY_AUTHENTICATE, PROXY_AUTHORIZATION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE,
 };
 use http::{Method, Uri, Version};
-use lacewingmoor_control::{LoadReport, TargetState};
+use lacewingmoor_control::LoadReport;
+
+use crate::probe;
 
 /// Milliseconds left for the answer's head. Sent to targets, read from callers.
 pub const REQUEST_DEADLINE_MS: HeaderName = HeaderName::from_static("request-deadline-ms");
@@ -225,10 +227,10 @@
     for item in field.to_str().ok()?.split_ascii_whitespace() {
         let (key, value) = item.split_once('=')?;
         match key {
-            "state" => state = Some(target_state(value)?),
+            "state" => state = Some(probe::target_state(value)?),
             "in_flight" => in_flight = Some(value.parse().ok()?),
             "queue" => queue = Some(value.parse().ok()?),
-            "start" => start = Some(lacewingmoor_bundle::node_id(value)),
+            "start" => start = Some(probe::start_hash(value)),
             _ => {}
         }
     }
@@ -239,15 +241,3 @@
         start: start?,
     })
 }
-
-/// Parses a target state as targets report it.
-pub fn target_state(name: &str) -> Option<TargetState> {
-    Some(match name {
-        "cold" => TargetState::Cold,
-        "warming" => TargetState::Warming,
-        "warm" => TargetState::Warm,
-        "shedding" => TargetState::Shedding,
-        "draining" => TargetState::Draining,
-        _ => return None,
-    })
-}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -1,4 +1,5 @@
-//! The entry process as a library: traffic, control thread, admin listener and process frame.
+//! The entry process as a library: traffic, control thread, platform and peers, admin listener and
+//! process frame.
 
 pub mod acceptor;
 pub mod admin;
--- a/entry/src/platform.rs
+++ b/entry/src/platform.rs
@@ -6,9 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
-use lacewingmoor_bundle::{NodeId, PublicKey, TargetId, node_id};
+use lacewingmoor_bundle::{NodeId, TargetId, node_id};
 use lacewingmoor_control::{Effect, Event};
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -75,10 +73,6 @@
             fleet_key: FleetKey::new(settings.fleet_key),
         };
         let seed = settings.seed ^ node;
-        let operators = settings.operator_keys.iter().map(|key| {
-            PublicKey::from_base64(&STANDARD.encode(key.as_bytes())).map_err(io::Error::other)
-        });
-        let operators = operators.collect::<Result<_, _>>()?;
         let library = Library::default();
         let links = Arc::new(Links::new(local.clone(), seed, log.clone()));
         let store = HttpStore::new(settings.store).map_err(io::Error::other)?;
@@ -87,7 +81,7 @@
             Arc::new(store),
             links.clone(),
             &library,
-            operators,
+            settings.operator_keys.clone(),
             events.clone(),
             log.clone(),
         ));
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -5,11 +5,10 @@
 
 use http::StatusCode;
 use lacewingmoor_bundle::node_id;
-use lacewingmoor_control::LoadReport;
+use lacewingmoor_control::{LoadReport, TargetState};
 use metrics::counter;
 use serde::Deserialize;
 
-use crate::head::target_state;
 use crate::http_get::fetch;
 
 /// Longest answer of a load endpoint in bytes.
@@ -51,6 +50,24 @@
         state: target_state(&raw.state)?,
         in_flight: raw.in_flight,
         queue: raw.queue,
-        start: node_id(&raw.start_id),
+        start: start_hash(&raw.start_id),
     })
 }
+
+/// Reads the name of a target state, as used by load endpoints and load reports.
+pub fn target_state(name: &str) -> Option<TargetState> {
+    Some(match name {
+        "cold" => TargetState::Cold,
+        "warming" => TargetState::Warming,
+        "warm" => TargetState::Warm,
+        "shedding" => TargetState::Shedding,
+        "draining" => TargetState::Draining,
+        "leaving" => TargetState::Leaving,
+        _ => return None,
+    })
+}
+
+/// Hashes the id of a target's start. Probes and load reports on answers must give the same hash.
+pub fn start_hash(start_id: &str) -> u64 {
+    node_id(start_id)
+}
