--- a/cli/tests/rollout.rs
+++ b/cli/tests/rollout.rs
@@ -59,6 +59,10 @@
     faults: |v| vec![Fault::OtherFirst(v)],
     other: Other::Greater, exit: 3, tells: json!(6), ours_stored: false, again: 3,
 })]
+#[case::race_and_store_away(Race {
+    faults: |v| vec![Fault::OtherFirstThenDown(v)],
+    other: Other::Same, exit: 3, tells: Value::Null, ours_stored: false, again: 3,
+})]
 #[case::race_and_answer_lost(Race {
     faults: |v| vec![Fault::OtherFirstCutAfter(v)],
     other: Other::Same, exit: 3, tells: json!(5), ours_stored: false, again: 3,
