Grant no credit for slots that are in use beyond the cap

An entry thawed and reported a request in flight whose credit had expired; meanwhile its slot had been granted anew. The owner counted it and gave the entry a credit for it, because the slot was in use anyway. When that request ended, the entry reused the credit instead of returning the slot, while the target was still above its cap.

While more slots are out than the cap allows, the excess is now taken off before a credit is raised.

--- a/control/src/credit.rs
+++ b/control/src/credit.rs
@@ -134,7 +134,9 @@
             division.cap.saturating_sub(silent),
             division.cap - division.store,
         );
-        let mut free = division.cap.saturating_sub(self.outstanding());
+        let outstanding = self.outstanding();
+        let mut free = division.cap.saturating_sub(outstanding);
+        let excess = outstanding.saturating_sub(division.cap);
         let mut grants = Vec::new();
         for (i, share) in live.into_iter().zip(shares) {
             let borrower = &mut self.borrowers[i];
@@ -144,6 +146,10 @@
                 free -= raise;
                 slots = borrower.bound + raise;
             }
+            if division.cautious && excess > 0 {
+                // A credit for a slot that is in use beyond the cap would keep it in use.
+                slots = slots.min(borrower.told.max(borrower.bound.saturating_sub(excess)));
+            }
             if slots == borrower.told && !borrower.unanswered {
                 continue;
             }
