--- a/standin/examples/compare/main.rs
+++ b/standin/examples/compare/main.rs
@@ -10,6 +10,7 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
+use lacewingmoor_standin::target::Distribution;
 
 /// Result of a part of the program.
 pub type Result<T> = std::result::Result<T, Box<dyn Error>>;
@@ -38,6 +39,9 @@
     /// mean service time in milliseconds
     #[argh(option, default = "10.0")]
     service_ms: f64,
+    /// distribution of service times: constant, erlang or exponential (default: exponential)
+    #[argh(option, default = "Distribution::Exponential")]
+    distribution: Distribution,
     /// mean time between stalls of a target in milliseconds
     #[argh(option, default = "4000")]
     stall_every_ms: u64,
--- a/standin/examples/compare/policies.rs
+++ b/standin/examples/compare/policies.rs
@@ -26,6 +26,7 @@
     report: Report,
     most: usize,
     probes_per_target_s: f64,
+    service_times: Vec<Duration>,
 }
 
 /// Runs every variant at every load, in interleaved rounds.
@@ -89,6 +90,11 @@
     let probes: u64 = counts.clone().map(|c| c.probes).sum();
     Ok(Round {
         report,
+        service_times: fleet
+            .targets
+            .iter()
+            .flat_map(|t| t.target.service_times())
+            .collect(),
         most: counts.map(|c| c.most).max().unwrap_or(0),
         probes_per_target_s: probes as f64 / took / args.targets as f64,
     })
@@ -96,20 +102,21 @@
 
 fn table(args: &Args, cells: &[Cell]) -> std::result::Result<String, std::fmt::Error> {
     let mut text = format!(
-        "{} entries, {} targets in 2 zones, mean service time {} ms, stalls of 200 ms at a third \
-         of the speed every {} ms on average, {} rounds of {} s, seed {}. Latency in ms, of \
-         answered requests. Goals for the p99 ratio to {BASELINE} at 75%: at most 0.65 without \
-         hedges, at most 0.5 with hedges.\n\n",
+        "{} entries, {} targets in 2 zones, mean service time {} ms ({:?}), stalls of 200 ms at \
+         a third of the speed every {} ms on average, {} rounds of {} s, seed {}. Latency in ms, \
+         of answered requests. The service p99 leaves out all waiting. Goals for the p99 ratio to \
+         {BASELINE} at 75%: at most 0.65 without hedges, at most 0.5 with hedges.\n\n",
         args.entries,
         args.targets,
         args.service_ms,
+        args.distribution,
         args.stall_every_ms,
         args.rounds,
         args.seconds,
         args.seed
     );
-    text += "| load | policy | p50 | p99 (rounds) | p99.9 | p99 ratio | not answered | most at a \
-             target | probes per target and s |\n|---|---|---|---|---|---|---|---|---|\n";
+    text += "| load | policy | p50 | p99 (rounds) | p99.9 | service p99 | p99 ratio | not answered | most \
+             at a target | probes per target and s |\n|---|---|---|---|---|---|---|---|---|---|\n";
     for cell in cells {
         let baseline = cells
             .iter()
@@ -117,13 +124,14 @@
         let ratio = baseline.map_or("-".into(), |b| format!("{:.2}", cell.all.p99 / b.all.p99));
         writeln!(
             text,
-            "| {}% | {} | {:.1} | {:.1} ({}) | {:.1} | {ratio} | {:.3}% | {} | {:.2} |",
+            "| {}% | {} | {:.1} | {:.1} ({}) | {:.1} | {:.1} | {ratio} | {:.3}% | {} | {:.2} |",
             cell.load,
             cell.variant.name(),
             cell.all.p50,
             cell.all.p99,
             cell.p99_of_rounds(),
             cell.all.p999,
+            cell.service_p99(),
             cell.not_answered_percent(),
             cell.rounds.iter().map(|r| r.most).max().unwrap_or(0),
             mean(cell.rounds.iter().map(|r| r.probes_per_target_s)),
@@ -141,6 +149,11 @@
         values.collect::<Vec<_>>().join(", ")
     }
 
+    fn service_p99(&self) -> f64 {
+        let times = self.rounds.iter().flat_map(|r| &r.service_times);
+        Quantiles::of(times.copied()).p99
+    }
+
     fn not_answered_percent(&self) -> f64 {
         let offered: usize = self.rounds.iter().map(|r| r.report.offered()).sum();
         let answered: usize = self.rounds.iter().map(|r| r.report.answered()).sum();
--- a/standin/examples/compare/setup.rs
+++ b/standin/examples/compare/setup.rs
@@ -60,6 +60,7 @@
     let mut fleet = Fleet::start(bundle).await?;
     let settings = Settings {
         service_ms: args.service_ms,
+        distribution: args.distribution,
         stall_every_ms: if stalls { args.stall_every_ms } else { 0 },
         seed: args.seed,
         record: false,
--- a/standin/src/target/mod.rs
+++ b/standin/src/target/mod.rs
@@ -27,6 +27,21 @@
     /// Exponential.
     #[default]
     Exponential,
+    /// Erlang with shape 4: half the relative spread of an exponential distribution.
+    Erlang,
+}
+
+impl std::str::FromStr for Distribution {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        match text {
+            "constant" => Ok(Self::Constant),
+            "exponential" => Ok(Self::Exponential),
+            "erlang" => Ok(Self::Erlang),
+            other => Err(format!("no distribution {other}")),
+        }
+    }
 }
 
 /// How load reports are given.
@@ -228,6 +243,12 @@
         self.model.counts()
     }
 
+    /// Returns the time that each run since the last reset occupied its slot at the target, waiting
+    /// excluded.
+    pub fn service_times(&self) -> Vec<Duration> {
+        self.model.service_times()
+    }
+
     /// Returns the highest number of connections open at a time since the last start.
     pub fn connections_most(&self) -> usize {
         self.server.as_ref().map_or(0, |s| s.connections().most())
--- a/standin/src/target/model.rs
+++ b/standin/src/target/model.rs
@@ -13,6 +13,9 @@
 use super::{Change, Distribution, Reports, Settings, pattern_key};
 use crate::timer;
 
+/// Number of exponential stages of [`Distribution::Erlang`].
+const ERLANG_SHAPE: u32 = 4;
+
 /// State that a target reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -101,6 +104,7 @@
     rng: StdRng,
     stalls: Stalls,
     runs: HashMap<String, Vec<Run>>,
+    service_times: Vec<Duration>,
     /// Past reports, oldest first, for lagging ones.
     history: VecDeque<(Instant, Report)>,
 }
@@ -145,6 +149,7 @@
             rng: StdRng::seed_from_u64(settings.seed),
             stalls,
             runs: HashMap::new(),
+            service_times: Vec::new(),
             history: VecDeque::new(),
         };
         Self {
@@ -205,6 +210,7 @@
         let Counts {
             running, waiting, ..
         } = inner.counts;
+        inner.service_times.clear();
         inner.counts = Counts {
             running,
             waiting,
@@ -213,6 +219,10 @@
         };
     }
 
+    pub(super) fn service_times(&self) -> Vec<Duration> {
+        self.lock().service_times.clone()
+    }
+
     pub(super) fn counts(&self) -> Counts {
         self.lock().counts
     }
@@ -365,7 +375,9 @@
             factor *= self.model.settings.collapse_factor;
         }
         let at = inner.started.elapsed();
-        inner.stalls.stretch(at, work.mul_f64(factor))
+        let time = inner.stalls.stretch(at, work.mul_f64(factor));
+        inner.service_times.push(time);
+        time
     }
 
     /// Notes that the whole answer was written.
@@ -379,18 +391,18 @@
     /// with the same seed, whatever the order of arrivals.
     fn draw(&self, inner: &mut Inner, id: Option<&str>) -> Duration {
         let mean = Duration::from_secs_f64(self.settings.service_ms / 1000.0);
-        match self.settings.distribution {
-            Distribution::Constant => mean,
-            Distribution::Exponential => {
-                let uniform = match id {
-                    Some(id) => {
-                        StdRng::seed_from_u64(self.settings.seed ^ pattern_key(id)).random::<f64>()
-                    }
-                    None => inner.rng.random::<f64>(),
-                };
-                mean.mul_f64(-(1.0 - uniform).ln())
-            }
-        }
+        let stages = match self.settings.distribution {
+            Distribution::Constant => return mean,
+            Distribution::Exponential => 1,
+            Distribution::Erlang => ERLANG_SHAPE,
+        };
+        let seed = match id {
+            Some(id) => self.settings.seed ^ pattern_key(id),
+            None => inner.rng.random(),
+        };
+        let mut rng = StdRng::seed_from_u64(seed);
+        let sum: f64 = (0..stages).map(|_| -(1.0 - rng.random::<f64>()).ln()).sum();
+        mean.mul_f64(sum / f64::from(stages))
     }
 }
 
