--- a/standin/src/target/mod.rs
+++ b/standin/src/target/mod.rs
@@ -2,6 +2,7 @@
 
 mod http;
 mod model;
+mod service;
 mod stall;
 
 use std::collections::HashMap;
--- a/standin/src/target/model.rs
+++ b/standin/src/target/model.rs
@@ -4,18 +4,13 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use super::stall::Stalls;
-use super::{Change, Distribution, Reports, Settings, pattern_key};
+use super::service::Service;
+use super::{Change, Reports, Settings};
 use crate::timer;
 
-/// Number of exponential stages of [`Distribution::Erlang`].
-const ERLANG_SHAPE: u32 = 4;
-
 /// State that a target reports.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -90,7 +85,6 @@
 struct Inner {
     counts: Counts,
     start: u64,
-    started: Instant,
     /// Time of the first answer since the start; `None` while cold.
     first_answer: Option<Instant>,
     born_warm: bool,
@@ -101,10 +95,8 @@
     reports: Reports,
     report_lag: Duration,
     cut_next: bool,
-    rng: StdRng,
-    stalls: Stalls,
+    service: Service,
     runs: HashMap<String, Vec<Run>>,
-    service_times: Vec<Duration>,
     /// Past reports, oldest first, for lagging ones.
     history: VecDeque<(Instant, Report)>,
 }
@@ -127,16 +119,9 @@
 
 impl Model {
     pub(super) fn new(settings: Settings) -> Self {
-        let stalls = Stalls::new(
-            settings.seed,
-            Duration::from_millis(settings.stall_every_ms),
-            Duration::from_millis(settings.stall_ms),
-            settings.stall_factor,
-        );
         let inner = Inner {
             counts: Counts::default(),
             start: 1,
-            started: Instant::now(),
             first_answer: None,
             born_warm: !settings.cold,
             collapsed: false,
@@ -146,10 +131,8 @@
             reports: settings.reports,
             report_lag: Duration::from_millis(settings.report_lag_ms),
             cut_next: false,
-            rng: StdRng::seed_from_u64(settings.seed),
-            stalls,
+            service: Service::new(&settings),
             runs: HashMap::new(),
-            service_times: Vec::new(),
             history: VecDeque::new(),
         };
         Self {
@@ -201,7 +184,7 @@
 
     /// Lets the seeded times of stalls begin now.
     pub(super) fn restart_stalls(&self) {
-        self.lock().started = Instant::now();
+        self.lock().service.restart_stalls();
     }
 
     /// Sets the counts to zero, apart from what is there now.
@@ -210,7 +193,7 @@
         let Counts {
             running, waiting, ..
         } = inner.counts;
-        inner.service_times.clear();
+        inner.service.times.clear();
         inner.counts = Counts {
             running,
             waiting,
@@ -220,7 +203,7 @@
     }
 
     pub(super) fn service_times(&self) -> Vec<Duration> {
-        self.lock().service_times.clone()
+        self.lock().service.times.clone()
     }
 
     pub(super) fn counts(&self) -> Counts {
@@ -369,15 +352,11 @@
             _ => 0,
         };
         self.run = Some(run);
-        let work = fixed.unwrap_or_else(|| self.model.draw(&mut inner, self.id.as_deref()));
         let mut factor = inner.slow_factor;
         if inner.collapsed {
             factor *= self.model.settings.collapse_factor;
         }
-        let at = inner.started.elapsed();
-        let time = inner.stalls.stretch(at, work.mul_f64(factor));
-        inner.service_times.push(time);
-        time
+        inner.service.time(self.id.as_deref(), fixed, factor)
     }
 
     /// Notes that the whole answer was written.
@@ -386,26 +365,6 @@
     }
 }
 
-impl Model {
-    /// Draws a service time. A request with an id gets the same time at this target in every run
-    /// with the same seed, whatever the order of arrivals.
-    fn draw(&self, inner: &mut Inner, id: Option<&str>) -> Duration {
-        let mean = Duration::from_secs_f64(self.settings.service_ms / 1000.0);
-        let stages = match self.settings.distribution {
-            Distribution::Constant => return mean,
-            Distribution::Exponential => 1,
-            Distribution::Erlang => ERLANG_SHAPE,
-        };
-        let seed = match id {
-            Some(id) => self.settings.seed ^ pattern_key(id),
-            None => inner.rng.random(),
-        };
-        let mut rng = StdRng::seed_from_u64(seed);
-        let sum: f64 = (0..stages).map(|_| -(1.0 - rng.random::<f64>()).ln()).sum();
-        mean.mul_f64(sum / f64::from(stages))
-    }
-}
-
 impl Drop for Job {
     fn drop(&mut self) {
         let mut inner = self.model.lock();
