--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -3,7 +3,10 @@
 use std::sync::Arc;
 
 use http::StatusCode;
+use lacewingmoor_bundle::Version;
+use lacewingmoor_control::{Explanation, TargetStatus};
 use metrics_exporter_prometheus::PrometheusHandle;
+use salvo::writing::Json;
 use salvo::{Depot, FlowCtrl, Handler, Request, Response, Router, async_trait};
 use serde::Serialize;
 
@@ -24,7 +27,7 @@
 }
 
 /// Answer of `/status`.
-#[derive(Debug, Serialize)]
+#[derive(Serialize)]
 pub struct Status {
     /// Name of this entry.
     pub node: String,
@@ -33,11 +36,19 @@
     /// Region of this entry.
     pub region: String,
     /// Version in force, 0 if none.
-    pub version: u64,
-    /// Manifest digest of that version in hex, empty if none.
+    pub version: Version,
+    /// Manifest digest of that version in hexadecimal, empty if none.
     pub digest: String,
+    /// True if the version is confirmed as the newest.
+    pub fresh: bool,
     /// True if new callers should be sent to this entry.
     pub ready: bool,
+    /// Requests that are not over.
+    pub requests: usize,
+    /// Requests that wait for a slot.
+    pub queued: usize,
+    /// Targets with state and slots, in the order of the bundle.
+    pub targets: Vec<TargetStatus>,
 }
 
 impl Admin {
@@ -45,33 +56,37 @@
     pub fn router(self) -> Router {
         let admin = Arc::new(self);
         let mut router = Router::new();
-        for path in ["live", "ready", "metrics", "status"] {
+        for path in ["live", "ready", "metrics", "status", "explain"] {
             let goal = Path(admin.clone(), path);
             router = router.push(Router::with_path(path).get(goal));
         }
         router
     }
 
-    fn status(&self) -> Status {
-        let bundle = self.control.bundle();
-        let digest = bundle.as_ref().map(|b| hex(&b.digest));
-        Status {
+    async fn status(&self) -> Option<Status> {
+        let known = self.control.query(|state| state.status()).await?;
+        Some(Status {
             node: self.settings.node.clone(),
             zone: self.settings.zone.clone(),
             region: self.settings.region.clone(),
-            version: bundle.as_ref().map_or(0, |b| b.version),
-            digest: digest.unwrap_or_default(),
+            version: known.version,
+            digest: known.digest,
+            fresh: known.fresh,
             ready: self.readiness.get(),
-        }
+            requests: known.requests,
+            queued: known.queued,
+            targets: known.targets,
+        })
     }
-}
 
-fn hex(bytes: &[u8]) -> String {
-    use std::fmt::Write as _;
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
+    async fn explain(&self, req: &Request) -> Option<Explanation> {
+        let path: String = req.query("path")?;
+        let method = req.query("method").unwrap_or_else(|| "GET".to_owned());
+        let tenant: Option<String> = req.query("tenant");
+        self.control
+            .query(move |state| state.explain(&method, &path, tenant.as_deref()))
+            .await
+    }
 }
 
 struct Path(Arc<Admin>, &'static str);
@@ -80,7 +95,7 @@
 impl Handler for Path {
     async fn handle(
         &self,
-        _req: &mut Request,
+        req: &mut Request,
         _depot: &mut Depot,
         res: &mut Response,
         _ctrl: &mut FlowCtrl,
@@ -94,7 +109,19 @@
                 res.render("not ready\n");
             }
             "metrics" => res.render(admin.metrics.render()),
-            _ => res.render(salvo::writing::Json(admin.status())),
+            "status" => json(res, admin.status().await),
+            _ => json(res, admin.explain(req).await),
+        }
+    }
+}
+
+/// Writes an answer as JSON; none stands for a request without the parameters that it needs.
+fn json(res: &mut Response, answer: Option<impl Serialize + Send>) {
+    match answer {
+        Some(answer) => res.render(Json(answer)),
+        None => {
+            res.status_code(StatusCode::BAD_REQUEST);
+            res.render("parameter `path` is missing\n");
         }
     }
 }
--- a/entry/src/control.rs
+++ b/entry/src/control.rs
@@ -25,7 +25,7 @@
 /// Commands of one request.
 pub type Commands = async_mpsc::UnboundedReceiver<Command>;
 
-type Query = Box<dyn FnOnce(&State, Duration) + Send>;
+type Query = Box<dyn FnOnce(&mut State) + Send>;
 
 enum Input {
     Arrived(Arrival, async_mpsc::UnboundedSender<Command>),
@@ -76,14 +76,14 @@
     }
 
     /// Runs a function on the reducer's state and returns its result, or `None` if the control
-    /// thread has ended.
+    /// thread has ended. Only views are read this way; what happens goes through `send`.
     pub async fn query<T: Send + 'static>(
         &self,
-        read: impl FnOnce(&State, Duration) -> T + Send + 'static,
+        read: impl FnOnce(&mut State) -> T + Send + 'static,
     ) -> Option<T> {
         let (sender, receiver) = oneshot::channel();
-        self.input(Input::Query(Box::new(move |state, now| {
-            let _ = sender.send(read(state, now));
+        self.input(Input::Query(Box::new(move |state| {
+            let _ = sender.send(read(state));
         })));
         receiver.await.ok()
     }
@@ -160,7 +160,7 @@
                         self.bundle.store(self.state.bundle().cloned());
                     }
                 }
-                Ok(Input::Query(query)) => query(&self.state, self.start.elapsed()),
+                Ok(Input::Query(query)) => query(&mut self.state),
                 Err(mpsc::RecvTimeoutError::Timeout) => self.apply(Event::Tick),
                 Err(mpsc::RecvTimeoutError::Disconnected) => return,
             }
--- a/entry/src/log.rs
+++ b/entry/src/log.rs
@@ -36,8 +36,8 @@
 }
 
 struct Dropped {
-    /// Lines that the log thread has not reported yet.
-    unreported: AtomicU64,
+    /// Lines dropped since the start.
+    count: AtomicU64,
     total: AssertUnwindSafe<Counter>,
 }
 
@@ -50,7 +50,7 @@
     pub fn start(output: impl Write + Send + 'static, queue_lines: usize) -> Self {
         let (lines, receiver) = mpsc::sync_channel(queue_lines);
         let dropped = Arc::new(Dropped {
-            unreported: AtomicU64::new(0),
+            count: AtomicU64::new(0),
             total: AssertUnwindSafe(counter!("lacewingmoor_log_lines_dropped_total")),
         });
         let counted = dropped.clone();
@@ -69,9 +69,14 @@
         }
     }
 
+    /// Returns the number of lines dropped so far.
+    pub fn dropped(&self) -> u64 {
+        self.dropped.count.load(Ordering::Relaxed)
+    }
+
     fn push(&self, line: Line) {
         if self.lines.try_send(line).is_err() {
-            self.dropped.unreported.fetch_add(1, Ordering::Relaxed);
+            self.dropped.count.fetch_add(1, Ordering::Relaxed);
             self.dropped.total.increment(1);
         }
     }
@@ -121,21 +126,25 @@
         let mut line = String::with_capacity(160);
         start_line(&mut line, SystemTime::now(), record.level());
         pair(&mut line, "event", record.msg());
-        let mut pairs = Pairs(&mut line);
-        // Writing to a string cannot fail.
-        let _ = record.kv().serialize(record, &mut pairs);
+        let mut pairs = Pairs(Vec::with_capacity(8));
+        // Collecting cannot fail.
         let _ = values.serialize(record, &mut pairs);
+        let _ = record.kv().serialize(record, &mut pairs);
+        // slog hands out the pairs of a record last one first.
+        for (key, value) in pairs.0.iter().rev() {
+            pair(&mut line, key, value);
+        }
         line.push('\n');
         self.0.push(Line::Text(line));
         Ok(())
     }
 }
 
-struct Pairs<'a>(&'a mut String);
+struct Pairs(Vec<(Key, String)>);
 
-impl slog::Serializer for Pairs<'_> {
+impl slog::Serializer for Pairs {
     fn emit_arguments(&mut self, key: Key, value: &fmt::Arguments<'_>) -> slog::Result {
-        pair(self.0, key, value);
+        self.0.push((key, value.to_string()));
         Ok(())
     }
 }
@@ -195,6 +204,7 @@
     let mut output = std::io::BufWriter::with_capacity(64 * 1024, output);
     let mut text = String::new();
     let mut unflushed = 0;
+    let mut reported = 0;
     loop {
         let line = match lines.try_recv() {
             Ok(line) => line,
@@ -216,8 +226,10 @@
                 let _ = done.try_send(());
             }
         }
-        let lost = dropped.unreported.swap(0, Ordering::Relaxed);
+        let total = dropped.count.load(Ordering::Relaxed);
+        let lost = total - reported;
         if lost > 0 {
+            reported = total;
             start_line(&mut text, SystemTime::now(), Level::Warning);
             pair(&mut text, "event", "log_lines_dropped");
             pair(&mut text, "count", lost);
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -138,7 +138,7 @@
         confirm(&control, &bundle);
         tokio::task::yield_now().await;
         // The query returns after the bundle was applied.
-        control.query(|_, _| ()).await.unwrap();
+        control.query(|_| ()).await.unwrap();
         Self {
             addr: traffic.addr,
             control,
--- a/entry/tests/process.rs
+++ b/entry/tests/process.rs
@@ -27,7 +27,7 @@
     let key = key.public().to_base64();
     format!(
         "node: e1\nzone: z1\nregion: r1\nlisten: 127.0.0.1:0\nadmin: 127.0.0.1:0\n\
-         peer: 127.0.0.1:0\nstore: 127.0.0.1:1\nvm_list: 127.0.0.1:1\nunready_ms: 200\nseed: 1\n\
+         peer: 127.0.0.1:0\nstore: 127.0.0.1:1\nvm_list: 127.0.0.1:1\nunready_ms: 200\nseed: 1\npolicy: random\n\
          operator_keys: [\"{key}\"]\n\
          fleet_key: \"AQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQEBAQE=\"\n"
     )
