--- a/control/src/owner.rs
+++ b/control/src/owner.rs
@@ -238,13 +238,16 @@
         if !first && silent < CAMPAIGN_MAX * 2 {
             return false;
         }
-        let spread = self.rng.random_range(1..=3);
+        let spread = self.rng.random_range(2..=4);
         let lease = &mut self.fleet.targets[index].lease;
         let campaign = *lease.campaign.get_or_insert(now);
-        if now.saturating_sub(campaign) > CAMPAIGN_MAX {
-            // Two claimants with part of the votes each would block one another for ever.
+        // Two claimants with part of the votes each would block one another for ever, and the
+        // first in rank should be the one that wins.
+        let longest = if first { CAMPAIGN_MAX } else { CLAIM_INTERVAL };
+        if now.saturating_sub(campaign) > longest {
+            let pause = LEASE_TTL * spread;
             lease.campaign = None;
-            lease.pause = now + LEASE_TTL * spread;
+            lease.pause = now + if first { pause } else { pause * 2 };
             return false;
         }
         true
