--- a/standin/src/target/model.rs
+++ b/standin/src/target/model.rs
@@ -4,13 +4,11 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use rand::rngs::StdRng;
-use rand::{RngExt, SeedableRng};
 use serde::{Deserialize, Serialize};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use super::stall::Stalls;
-use super::{Change, Distribution, Reports, Settings, pattern_key};
+use super::service::Service;
+use super::{Change, Reports, Settings};
 use crate::timer;
 
 /// State that a target reports.
@@ -87,7 +85,6 @@
 struct Inner {
     counts: Counts,
     start: u64,
-    started: Instant,
     /// Time of the first answer since the start; `None` while cold.
     first_answer: Option<Instant>,
     born_warm: bool,
@@ -98,8 +95,7 @@
     reports: Reports,
     report_lag: Duration,
     cut_next: bool,
-    rng: StdRng,
-    stalls: Stalls,
+    service: Service,
     runs: HashMap<String, Vec<Run>>,
     /// Past reports, oldest first, for lagging ones.
     history: VecDeque<(Instant, Report)>,
@@ -123,16 +119,9 @@
 
 impl Model {
     pub(super) fn new(settings: Settings) -> Self {
-        let stalls = Stalls::new(
-            settings.seed,
-            Duration::from_millis(settings.stall_every_ms),
-            Duration::from_millis(settings.stall_ms),
-            settings.stall_factor,
-        );
         let inner = Inner {
             counts: Counts::default(),
             start: 1,
-            started: Instant::now(),
             first_answer: None,
             born_warm: !settings.cold,
             collapsed: false,
@@ -142,8 +131,7 @@
             reports: settings.reports,
             report_lag: Duration::from_millis(settings.report_lag_ms),
             cut_next: false,
-            rng: StdRng::seed_from_u64(settings.seed),
-            stalls,
+            service: Service::new(&settings),
             runs: HashMap::new(),
             history: VecDeque::new(),
         };
@@ -196,7 +184,7 @@
 
     /// Lets the seeded times of stalls begin now.
     pub(super) fn restart_stalls(&self) {
-        self.lock().started = Instant::now();
+        self.lock().service.restart_stalls();
     }
 
     /// Sets the counts to zero, apart from what is there now.
@@ -205,6 +193,7 @@
         let Counts {
             running, waiting, ..
         } = inner.counts;
+        inner.service.times.clear();
         inner.counts = Counts {
             running,
             waiting,
@@ -213,6 +202,10 @@
         };
     }
 
+    pub(super) fn service_times(&self) -> Vec<Duration> {
+        self.lock().service.times.clone()
+    }
+
     pub(super) fn counts(&self) -> Counts {
         self.lock().counts
     }
@@ -359,13 +352,11 @@
             _ => 0,
         };
         self.run = Some(run);
-        let work = fixed.unwrap_or_else(|| self.model.draw(&mut inner, self.id.as_deref()));
         let mut factor = inner.slow_factor;
         if inner.collapsed {
             factor *= self.model.settings.collapse_factor;
         }
-        let at = inner.started.elapsed();
-        inner.stalls.stretch(at, work.mul_f64(factor))
+        inner.service.time(self.id.as_deref(), fixed, factor)
     }
 
     /// Notes that the whole answer was written.
@@ -374,26 +365,6 @@
     }
 }
 
-impl Model {
-    /// Draws a service time. A request with an id gets the same time at this target in every run
-    /// with the same seed, whatever the order of arrivals.
-    fn draw(&self, inner: &mut Inner, id: Option<&str>) -> Duration {
-        let mean = Duration::from_secs_f64(self.settings.service_ms / 1000.0);
-        match self.settings.distribution {
-            Distribution::Constant => mean,
-            Distribution::Exponential => {
-                let uniform = match id {
-                    Some(id) => {
-                        StdRng::seed_from_u64(self.settings.seed ^ pattern_key(id)).random::<f64>()
-                    }
-                    None => inner.rng.random::<f64>(),
-                };
-                mean.mul_f64(-(1.0 - uniform).ln())
-            }
-        }
-    }
-}
-
 impl Drop for Job {
     fn drop(&mut self) {
         let mut inner = self.model.lock();
