Put off a hedge that finds no free slot instead of dropping it

A hedge was tried once, at the 92nd percentile of the service, and only while no request waited and a credit was free. Near 75% load that is often not so, and the request then stayed with its slow target for good. It is now tried again every 2 ms.

--- a/control/src/answer.rs
+++ b/control/src/answer.rs
@@ -7,7 +7,10 @@
 use crate::flow::cancel_open;
 use crate::request::{Open, Stage};
 use crate::select::Choice;
-use crate::{Attempt, Effect, LoadReport, Outcome, Reason, RequestId, State};
+use crate::{Attempt, Effect, LoadReport, Outcome, Reason, RequestId, State, Timer};
+
+/// Time after which a hedge that could not be started is tried again.
+const HEDGE_AGAIN: Duration = Duration::from_millis(2);
 
 impl State {
     pub(crate) fn head(
@@ -92,29 +95,26 @@
         self.saw(now, open.target, sight, out);
     }
 
-    /// Starts a second attempt of a request whose first one takes longer than most.
+    /// Starts a second attempt of a request whose first one takes longer than most. While requests
+    /// wait, or no slot or token is free, it is put off: the first attempt may stay slow for long.
     pub(crate) fn hedge(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
         let Some(request) = self.requests.get(&id) else {
             return;
         };
-        let service = &self.fleet.services[request.rules.service];
         let due = request.stage == Stage::Running && request.open.len() == 1;
-        if !due
-            || !request.may_send(self.faults.resend_unsafe)
-            || !service.queue.is_empty()
-            || !service.hedges.any()
-        {
-            return;
-        }
-        if !self.members.fresh(now) {
+        if !due || !request.may_send(self.faults.resend_unsafe) || !self.members.fresh(now) {
             return;
         }
         let request = request.clone();
-        if let Choice::Target(index, "credit") = self.choose(now, &request)
+        let service = &self.fleet.services[request.rules.service];
+        if service.queue.is_empty()
+            && service.hedges.any()
+            && let Choice::Target(index, "credit") = self.choose(now, &request)
             && self.fleet.services[request.rules.service].hedges.spend()
         {
-            self.dispatch(now, id, index, "hedge", out);
+            return self.dispatch(now, id, index, "hedge", out);
         }
+        self.timer(now + HEDGE_AGAIN, Timer::Hedge(id));
     }
 
     /// Decides what happens to a request after one of its attempts ended.
