Keep the slots on top of a warm target in store as well

Every request that waited asked several owners, and slots on top were granted only to those that waited, so that messages were on the way for most requests.

Slots on top are now divided in advance like all others, and one request that waits asks two targets instead of growing by two per request.

Ruled out: leaving the demand of requests that no longer wait in place for 20 ms.

--- a/control/src/credit.rs
+++ b/control/src/credit.rs
@@ -48,8 +48,6 @@
 /// Terms of a division.
 pub(crate) struct Division {
     pub cap: u32,
-    /// Slots that may be granted to entries without requests that wait for them.
-    pub store: u32,
     /// True if slots of silent entries stay taken.
     pub strict: bool,
     /// True if only slots known to be free are granted.
@@ -129,11 +127,7 @@
             .filter(|b| now >= b.until)
             .map(|b| b.bound)
             .sum();
-        let shares = self.shares(
-            &live,
-            division.cap.saturating_sub(silent),
-            division.cap - division.store,
-        );
+        let shares = self.shares(&live, division.cap.saturating_sub(silent));
         let outstanding = self.outstanding();
         let mut free = division.cap.saturating_sub(outstanding);
         let excess = outstanding.saturating_sub(division.cap);
@@ -165,12 +159,12 @@
         grants
     }
 
-    /// Divides `slots` in proportion to what is in use or waited for; what is left, but for a
-    /// reserve, goes to entries that want slots in store.
-    fn shares(&self, live: &[usize], mut slots: u32, reserve: u32) -> Vec<u32> {
+    /// Divides `slots` in proportion to what is in use or waited for; what is left goes to
+    /// entries that want slots in store.
+    fn shares(&self, live: &[usize], mut slots: u32) -> Vec<u32> {
         let mut shares = vec![0; live.len()];
-        let mut give = |slots: &mut u32, left: u32, with_spare: bool| {
-            while *slots > left {
+        let mut give = |slots: &mut u32, with_spare: bool| {
+            while *slots > 0 {
                 let next = live
                     .iter()
                     .zip(&shares)
@@ -190,8 +184,8 @@
                 *slots -= 1;
             }
         };
-        give(&mut slots, 0, false);
-        give(&mut slots, reserve, true);
+        give(&mut slots, false);
+        give(&mut slots, true);
         shares
     }
 }
@@ -238,7 +232,6 @@
         let before = target.lender.granted(now);
         let division = Division {
             cap,
-            store: cap.min(target.slots),
             strict,
             cautious: !self.faults.ignore_outstanding,
         };
--- a/control/src/demand.rs
+++ b/control/src/demand.rs
@@ -231,7 +231,7 @@
         Asks {
             spare,
             remote: elapsed >= REMOTE_AFTER,
-            targets: 2 * waiting + widen,
+            targets: waiting + 1 + widen,
             // Rounded, so that not every change of the queue is told to every owner.
             extra: waiting.next_power_of_two() as u32,
         }
