Send requests that waited half a mean latency to a warm target without a credit

Cause: moving a credit between entries takes up to four messages, batched every 4 ms. With 16 entries on a busy machine slots stood idle for about as long as a request runs, the fleet saturated below 75% load and the queues grew while targets had room.

Credits stay strict on cold and warming targets; a request overflows only to a warm target of its region where this entry has fewer requests than the target has slots. This replaces the overcommit after 100 ms that required the owner to be overdue.

--- a/control/src/flow.rs
+++ b/control/src/flow.rs
@@ -89,6 +89,10 @@
 
     fn enqueue(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
         let queue_max = self.bundle().map_or(0, |b| b.limits.queue_max);
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let patience = self.overflow_patience(request.rules.service);
         let Some(request) = self.requests.get_mut(&id) else {
             return;
         };
@@ -99,6 +103,7 @@
         if !service.queue.is_empty() && wait + service.latency.mean().as_secs_f64() > left {
             return self.give_up(now, id, Reason::Deadline, out);
         }
+        let patience = patience.saturating_sub(now.saturating_sub(request.arrived));
         let place = service
             .queue
             .push(id, rules.tenant, rules.share, rules.weight);
@@ -112,6 +117,9 @@
         let full = service.queue.len() > queue_max;
         let loser = service.queue.last();
         self.timer(last_call, Timer::Queued(id));
+        if self.setup.policy == Policy::Credits {
+            self.timer(now + patience, Timer::Overflow(id));
+        }
         if full && let Some((_, loser)) = loser {
             self.give_up(now, loser, Reason::QueueFull, out);
             if loser == id {
--- a/control/src/select.rs
+++ b/control/src/select.rs
@@ -23,8 +23,13 @@
 /// Multiple of the service's mean latency that a request waits for a target that is not stalled.
 const STALL_PATIENCE: f64 = 2.0;
 
-/// Queueing time after which a warm target whose owner is silent is used without credit.
-const OVERCOMMIT_AFTER: Duration = Duration::from_millis(100);
+/// Queueing time, as a share of the service's mean latency, after which a request goes to a warm
+/// target without a credit. Moving a credit takes four messages; under load or on a slow entry
+/// that takes longer than the request would wait at a target.
+const OVERFLOW_PATIENCE: f64 = 0.5;
+
+/// Shortest queueing time before a request goes to a warm target without a credit.
+const OVERFLOW_PATIENCE_MIN: Duration = Duration::from_millis(2);
 
 /// Assumed bytes of an answer on a link between regions; the reducer does not see real sizes.
 const ANSWER_BYTES: u64 = 16 * 1024;
@@ -123,7 +128,7 @@
                 continue;
             }
             any = true;
-            let Some(reason) = self.slot(now, index, request) else {
+            let Some(reason) = self.slot(now, index) else {
                 continue;
             };
             let expected = target.latency.expected(now, mean);
@@ -147,18 +152,50 @@
                 }
             }
             Some((false, _, index, reason)) => Choice::Target(index, reason),
-            None if any => Choice::Busy,
+            None if any => self.choose_overflow(now, request),
             None => Choice::Nowhere,
         }
     }
 
+    /// Returns the queueing time after which a request of the service overflows.
+    pub(crate) fn overflow_patience(&self, service: usize) -> Duration {
+        let mean = self.fleet.services[service].latency.mean();
+        mean.mul_f64(OVERFLOW_PATIENCE).max(OVERFLOW_PATIENCE_MIN)
+    }
+
+    /// Chooses a warm target of this region without a credit for a request that has waited long:
+    /// the better of two random ones by what this entry has in flight and expects.
+    fn choose_overflow(&mut self, now: Duration, request: &Request) -> Choice {
+        let service = request.rules.service;
+        if now.saturating_sub(request.arrived) < self.overflow_patience(service) {
+            return Choice::Busy;
+        }
+        let mean = self.fleet.services[service].latency.mean().as_secs_f64();
+        let range = self.fleet.services[service].targets.clone();
+        let open: Vec<usize> = range
+            .filter(|i| {
+                let target = &self.fleet.targets[*i];
+                Self::allowed(target, request)
+                    && Some(target.region) == self.region
+                    && target.is_warm(now)
+                    && target.in_flight < target.slots
+            })
+            .collect();
+        if open.is_empty() {
+            return Choice::Busy;
+        }
+        let cost = |i: usize| {
+            let target = &self.fleet.targets[i];
+            f64::from(target.in_flight + 1) * target.latency.expected(now, mean)
+        };
+        let one = open[self.rng.random_range(0..open.len())];
+        let other = open[self.rng.random_range(0..open.len())];
+        let best = if cost(other) < cost(one) { other } else { one };
+        Choice::Target(best, "overflow")
+    }
+
     /// Returns why this entry may use a slot of the target now, if it may.
-    pub(crate) fn slot(
-        &self,
-        now: Duration,
-        index: usize,
-        request: &Request,
-    ) -> Option<&'static str> {
+    pub(crate) fn slot(&self, now: Duration, index: usize) -> Option<&'static str> {
         let target = &self.fleet.targets[index];
         let credit = &target.credit;
         let slots = if self.faults.ignore_expiry {
@@ -172,13 +209,11 @@
         if Some(target.region) != self.region || !target.is_warm(now) {
             return None;
         }
-        let share = (target.slots / self.entries_here).max(1);
-        if !credit.owner_present(now) {
-            return (target.in_flight < share).then_some("static_share");
+        if credit.owner_present(now) {
+            return None;
         }
-        // The owner has gone silent; its last grant is still in force but may be far too small.
-        let waited = now.saturating_sub(request.arrived) > OVERCOMMIT_AFTER;
-        (waited && credit.overdue(now) && target.in_flight < share).then_some("overcommit")
+        let share = (target.slots / self.entries_here).max(1);
+        (target.in_flight < share).then_some("static_share")
     }
 
     /// Returns the network delay there and back in seconds.
--- a/control/src/state.rs
+++ b/control/src/state.rs
@@ -14,7 +14,7 @@
 use crate::exchange::Schedule;
 use crate::fleet::Fleet;
 use crate::owner::Ballots;
-use crate::request::Request;
+use crate::request::{Request, Stage};
 use crate::{Effect, Event, Faults, GrantItem, Membership, Policy, RequestId, Setup};
 
 /// What is due at a time.
@@ -26,6 +26,8 @@
     Queued(RequestId),
     /// The time at which a second attempt of a request is worth while.
     Hedge(RequestId),
+    /// A queued request may go to a warm target without a credit.
+    Overflow(RequestId),
 }
 
 /// State of one entry.
@@ -216,6 +218,16 @@
         }
     }
 
+    /// Serves the queue again once a request has waited long enough to overflow.
+    fn waited(&mut self, now: Duration, id: RequestId, out: &mut Vec<Effect>) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        if let Stage::Queued(_) = request.stage {
+            self.pump(now, request.rules.service, out);
+        }
+    }
+
     pub(crate) fn timer(&mut self, at: Duration, timer: Timer) {
         self.timers.push(Reverse((at, timer)));
     }
@@ -230,6 +242,7 @@
                 Timer::Deadline(id) => self.deadline_passed(now, id, out),
                 Timer::Queued(id) => self.queued_too_long(now, id, out),
                 Timer::Hedge(id) => self.hedge(now, id, out),
+                Timer::Overflow(id) => self.waited(now, id, out),
             }
         }
     }
--- a/control/src/status.rs
+++ b/control/src/status.rs
@@ -180,7 +180,7 @@
                     "closed"
                 } else if !request.rules.home.has(target.region) {
                     "outside_home_regions"
-                } else if self.slot(self.now, i, request).is_none() {
+                } else if self.slot(self.now, i).is_none() {
                     "no_credit"
                 } else {
                     "free"
