--- a/control/src/answer.rs
+++ b/control/src/answer.rs
@@ -105,14 +105,19 @@
         if !due || !request.may_send(self.faults.resend_unsafe) || !self.members.fresh(now) {
             return;
         }
-        let request = request.clone();
-        let service = &self.fleet.services[request.rules.service];
-        if service.queue.is_empty()
-            && service.hedges.any()
-            && let Choice::Target(index, "credit") = self.choose(now, &request)
-            && self.fleet.services[request.rules.service].hedges.spend()
+        let service = request.rules.service;
+        let state = &self.fleet.services[service];
+        if state.queue.is_empty()
+            && state.hedges.any()
+            && let Some(request) = self.requests.remove(&id)
         {
-            return self.dispatch(now, id, index, "hedge", out);
+            let choice = self.choose(now, &request);
+            self.requests.insert(id, request);
+            if let Choice::Target(index, "credit") = choice
+                && self.fleet.services[service].hedges.spend()
+            {
+                return self.dispatch(now, id, index, "hedge", out);
+            }
         }
         self.timer(now + HEDGE_AGAIN, Timer::Hedge(id));
     }
--- a/control/src/flow.rs
+++ b/control/src/flow.rs
@@ -169,6 +169,27 @@
         }
     }
 
+    /// Returns the connections that this entry may have open to a target.
+    fn connections_max(&self, index: usize) -> u32 {
+        let service = self.fleet.targets[index].service;
+        let all = self
+            .bundle()
+            .map_or(1, |b| b.services[service].connections_max);
+        (all / self.fleet.entries_all()).max(1)
+    }
+
+    /// Returns the time after which an attempt that is decided now may not be sent any more.
+    fn not_after(&self, now: Duration, index: usize) -> Duration {
+        let target = &self.fleet.targets[index];
+        match self.setup.policy {
+            Policy::Credits if target.in_flight < target.credit.slots(now) => {
+                target.credit.expires()
+            }
+            // Without a credit the entry still must not act long after it decided.
+            _ => now + GRANT_TTL,
+        }
+    }
+
     /// Sends an attempt of a request to the target with this index.
     pub(crate) fn dispatch(
         &mut self,
@@ -181,11 +202,8 @@
         if !self.check_dispatch(now, id, index, out) {
             return self.give_up(now, id, Reason::NoTarget, out);
         }
-        let entries = self.fleet.entries_all();
-        let connections = self.bundle().map_or(1, |b| {
-            let service = self.fleet.targets[index].service;
-            b.services[service].connections_max / entries
-        });
+        let connections_max = self.connections_max(index);
+        let not_after = self.not_after(now, index);
         let target = &mut self.fleet.targets[index];
         let Some(request) = self.requests.get_mut(&id) else {
             return;
@@ -199,13 +217,6 @@
             head: false,
             cancelled: false,
         });
-        let not_after = match self.setup.policy {
-            Policy::Credits if target.in_flight < target.credit.slots(now) => {
-                target.credit.expires()
-            }
-            // Without a credit the entry still must not act long after it decided.
-            _ => now + GRANT_TTL,
-        };
         target.in_flight += 1;
         target.latency.sent(now);
         let dispatch = Dispatch {
@@ -216,7 +227,7 @@
             not_after: not_after.min(request.deadline),
             deadline: request.deadline,
             body_bytes_max: request.rules.body_bytes_max,
-            connections_max: connections.max(1),
+            connections_max,
         };
         let attempt = Some(dispatch.attempt);
         let hedge = request.rules.hedge && request.attempts == 1 && request.arrival.replayable;
