--- a/control/src/exchange.rs
+++ b/control/src/exchange.rs
@@ -6,7 +6,7 @@
 
 use crate::demand::FLUSH_INTERVAL;
 use crate::owner::CLAIM_INTERVAL;
-use crate::{Effect, GRANT_TTL, Message, State};
+use crate::{DecisionKind, Effect, GRANT_TTL, Message, State};
 
 /// Interval between looks at owned targets: caps that ramp, grants that expire, probes.
 const OWNED_INTERVAL: Duration = Duration::from_millis(50);
@@ -54,6 +54,9 @@
 
     fn look_at_owned(&mut self, now: Duration, out: &mut Vec<Effect>) {
         for index in 0..self.fleet.targets.len() {
+            if self.fleet.targets[index].lease.lost(now) {
+                self.decide(DecisionKind::Owner, None, None, Some(index), "lost", out);
+            }
             if self.fleet.targets[index].lease.owned(now) {
                 self.probe(now, index, out);
                 self.redivide(now, index, out);
--- a/control/src/owner.rs
+++ b/control/src/owner.rs
@@ -60,6 +60,7 @@
     votes: Vec<(NodeId, Duration)>,
     until: Duration,
     since: Duration,
+    held: bool,
     campaign: Option<Duration>,
     pause: Duration,
 }
@@ -70,6 +71,13 @@
         now < self.until
     }
 
+    /// True once after the ownership has ended.
+    pub fn lost(&mut self, now: Duration) -> bool {
+        let lost = self.held && !self.owned(now);
+        self.held &= !lost;
+        lost
+    }
+
     /// True once the grants of any earlier owner have expired.
     pub fn may_grant(&self, now: Duration, wait: bool) -> bool {
         self.owned(now) && (!wait || now >= self.since + GRANT_TTL)
@@ -96,6 +104,7 @@
         let won = !self.owned(now) && quorum > now;
         if won {
             self.since = now;
+            self.held = true;
         }
         if quorum > self.until {
             self.until = quorum;
--- a/control/tests/targets.rs
+++ b/control/tests/targets.rs
@@ -256,8 +256,10 @@
     let mut entry = owner_of_warm();
     let effects = entry.apply(Event::Drain);
     assert!(effects.contains(&Effect::Ready(false)));
-    entry.pass(LEASE_TTL + ms(100));
+    let effects = entry.pass(LEASE_TTL + ms(100));
     assert!(!entry.state.status().targets[0].owned);
+    let lost = |e: &&Effect| matches!(e, Effect::Log(d) if d.kind == DecisionKind::Owner);
+    assert_eq!(effects.iter().filter(lost).count(), 1);
 }
 
 /// Guards against callers at an entry whose own zone is out, and against one that stays unready.
