entry: wait for readiness instead of a log line in the process test

The line about readiness can come before the line about the start, which the test reads first, so that it then waited for a line that had passed.

--- a/entry/tests/process.rs
+++ b/entry/tests/process.rs
@@ -20,6 +20,9 @@
 /// Ends a test whose process does not log what it should; without it the test would hang.
 const LOG_WAIT_MAX: Duration = Duration::from_secs(60);
 
+const WAIT_STEP: Duration = Duration::from_millis(10);
+const WAIT_STEPS: usize = 6000;
+
 const TARGET: &str = "LACEWINGMOOR_TEST_TARGET";
 
 fn settings() -> String {
@@ -57,7 +60,7 @@
 }
 
 impl Process {
-    fn start(target: SocketAddr) -> Self {
+    async fn start(target: SocketAddr) -> Self {
         let mut child = Command::new(std::env::current_exe().unwrap())
             .args(["--exact", "child", "--nocapture"])
             .env(TARGET, target.to_string())
@@ -86,8 +89,14 @@
         let line = process.log_line("event=started");
         process.listen = value(&line, "listen").parse().unwrap();
         process.admin = value(&line, "admin").parse().unwrap();
-        process.log_line("event=ready ready=true");
-        process
+        // The log line about readiness may come before or after the one about the start.
+        for _ in 0..WAIT_STEPS {
+            if status(&call(process.admin, &get("/ready")).await) == 200 {
+                return process;
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+        panic!("the process did not become ready");
     }
 
     /// Reads the log up to a line that holds `text`.
@@ -126,7 +135,7 @@
 #[tokio::test(flavor = "multi_thread")]
 async fn ignores_proxies_of_the_environment() {
     let (fake, _requests) = Fake::answering("HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n").await;
-    let process = Process::start(fake.addr);
+    let process = Process::start(fake.addr).await;
     let answer = call(process.listen, &get("/read/a")).await;
     assert_eq!(status(&answer), 200, "{answer}");
 }
@@ -154,7 +163,7 @@
         }
     })
     .await;
-    let mut process = Process::start(fake.addr);
+    let mut process = Process::start(fake.addr).await;
     assert_eq!(status(&call(process.admin, &get("/ready")).await), 200);
 
     let mut slow = send(process.listen, "GET /read/slow HTTP/1.1\r\nhost: a\r\n\r\n").await;
