--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use lacewingmoor_bundle::{Bundle, Limits, Region, Route, Service, Target, Tenant, Zone};
-use lacewingmoor_control::{Event, Policy, Setup, State};
+use lacewingmoor_control::{Event, Policy, Setup, State, Vm, VmRole};
 use lacewingmoord::control::{self, Control};
 use lacewingmoord::effects::{self, Readiness};
 use lacewingmoord::log::{self, DecisionLog};
@@ -17,6 +17,12 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::mpsc;
 
+/// Pause between two looks at something that takes its time.
+pub const WAIT_STEP: Duration = Duration::from_millis(20);
+
+/// Looks after which a test fails instead of hanging.
+pub const WAIT_STEPS: usize = 3000;
+
 /// Bundle with one service on `addrs`: `/read` is idempotent, `/book` is not, `/home` is
 /// restricted to the region of this entry.
 pub fn bundle(addrs: &[SocketAddr]) -> Bundle {
@@ -86,13 +92,13 @@
     }
 }
 
-pub fn state() -> State {
+pub fn state(policy: Policy) -> State {
     State::new(Setup {
         name: "e1".into(),
         zone: "z1".into(),
         region: "r1".into(),
         incarnation: 1,
-        policy: Policy::Random,
+        policy,
         seed: 1,
     })
 }
@@ -122,8 +128,40 @@
 
 impl Entry {
     pub async fn start(bundle: Bundle) -> Self {
+        Self::start_with(bundle, Policy::Random).await
+    }
+
+    /// Starts an entry under the policy `credits`, alone in its region, and waits until it owns
+    /// every target.
+    pub async fn owner(bundle: Bundle) -> Self {
+        let vm = |name: String, role, addr| Vm {
+            name,
+            role,
+            zone: "z1".into(),
+            region: "r1".into(),
+            addr,
+            leaving: false,
+        };
+        let mut vms = vec![vm("e1".into(), VmRole::Entry, ([127, 0, 0, 1], 9).into())];
+        for target in &bundle.services[0].targets {
+            let name = format!("svc/{}", target.name);
+            vms.push(vm(name, VmRole::Target, target.addr));
+        }
+        let entry = Self::start_with(bundle, Policy::Credits).await;
+        entry.control.send(Event::VmList(vms));
+        for _ in 0..WAIT_STEPS {
+            let status = entry.control.query(|state| state.status()).await.unwrap();
+            if status.targets.iter().all(|t| t.owned) {
+                return entry;
+            }
+            tokio::time::sleep(WAIT_STEP).await;
+        }
+        panic!("the entry owns no targets");
+    }
+
+    async fn start_with(bundle: Bundle, policy: Policy) -> Self {
         let (sender, effects) = mpsc::unbounded_channel();
-        let control = control::start(state(), sender, DecisionLog::off());
+        let control = control::start(state(policy), sender, DecisionLog::off());
         let readiness = Readiness::default();
         tokio::spawn(effects::run(
             effects,
--- a/entry/tests/platform.rs
+++ b/entry/tests/platform.rs
@@ -67,7 +67,7 @@
 
 impl Entry {
     async fn version(&self) -> u64 {
-        let version = |state: &State, _: Duration| state.bundle().map_or(0, |b| b.version);
+        let version = |state: &mut State| state.bundle().map_or(0, |b| b.version);
         self.control.query(version).await.unwrap()
     }
 
--- a/entry/tests/process.rs
+++ b/entry/tests/process.rs
@@ -9,7 +9,7 @@
 use std::sync::{Arc, mpsc};
 use std::time::Duration;
 
-use common::{Fake, call, get, read_request, send, status};
+use common::{Fake, WAIT_STEP, WAIT_STEPS, call, get, read_request, send, status};
 use lacewingmoor_control::Event;
 use lacewingmoord::process::run_with;
 use lacewingmoord::settings::Settings;
@@ -20,9 +20,6 @@
 /// Ends a test whose process does not log what it should; without it the test would hang.
 const LOG_WAIT_MAX: Duration = Duration::from_secs(60);
 
-const WAIT_STEP: Duration = Duration::from_millis(10);
-const WAIT_STEPS: usize = 6000;
-
 const TARGET: &str = "LACEWINGMOOR_TEST_TARGET";
 
 fn settings() -> String {
