--- a/standin/examples/compare/main.rs
+++ b/standin/examples/compare/main.rs
@@ -51,6 +51,9 @@
     /// seconds of load before each measurement
     #[argh(option, default = "3")]
     warmup: u64,
+    /// time in milliseconds that a restarted target is down, in the scenario cold
+    #[argh(option, default = "1000")]
+    down_ms: u64,
     /// rounds over all policies and loads
     #[argh(option, default = "2")]
     rounds: u64,
--- a/standin/examples/compare/setup.rs
+++ b/standin/examples/compare/setup.rs
@@ -55,7 +55,10 @@
 pub async fn start(args: &Args, variant: &Variant, stalls: bool) -> Result<Fleet> {
     let mut bundle = BundleSpec::two_zones();
     bundle.services.retain(|s| s.name == "lanes");
-    bundle.routes.retain(|r| r.name == "lanes");
+    bundle.routes.retain(|r| r.name != "archive");
+    for route in &mut bundle.routes {
+        route.service = "lanes".into();
+    }
     bundle.routes[0].hedge = variant.hedges;
     let mut fleet = Fleet::start(bundle).await?;
     let settings = Settings {
--- a/standin/src/server.rs
+++ b/standin/src/server.rs
@@ -96,6 +96,10 @@
     pub async fn stop(&mut self) {
         self.task.abort();
         let _ = (&mut self.task).await;
+        // Connections are cancelled with the task but end only when the runtime gets to them.
+        while self.connections.now.load(Ordering::Relaxed) > 0 {
+            tokio::task::yield_now().await;
+        }
     }
 }
 
