entry: close the listener before salvo is told to stop

The stop command could win the race against the close of the listener in salvo's accept loop. The acceptor was then not polled again, and the listener stayed open until the last request ended, so that new callers waited in its backlog.

--- a/entry/src/acceptor.rs
+++ b/entry/src/acceptor.rs
@@ -27,6 +27,7 @@
 #[derive(Default)]
 pub struct Connections {
     close: Notify,
+    closed: Notify,
     open: Mutex<Map<SocketAddr, Arc<Connection>>>,
     conflicts: AtomicUsize,
 }
@@ -39,9 +40,12 @@
 
 impl Connections {
     /// Closes the listener, so that new connections are refused, and those open connections on
-    /// which nothing was ever read. salvo ends all others once they have no request.
-    pub fn close(&self) {
+    /// which nothing was ever read. salvo ends all others once they have no request. Returns when
+    /// the listener is closed; salvo must not be stopped earlier, or it would not poll the acceptor
+    /// again and keep the listener open.
+    pub async fn close(&self) {
         self.close.notify_one();
+        self.closed.notified().await;
         for connection in self.lock().values() {
             if connection.silent.load(Ordering::Relaxed) {
                 connection.ctrl.abort();
@@ -142,6 +146,7 @@
                 () = self.connections.close.notified() => {}
             }
             self.listener = None;
+            self.connections.closed.notify_one();
         }
         std::future::pending().await
     }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -72,7 +72,8 @@
     /// takes.
     pub async fn stop(self) {
         self.shared.stopping.store(true, Ordering::Relaxed);
-        self.shared.connections.close();
+        self.shared.connections.close().await;
+        info!(self.shared.log, "listeners_closed");
         self.handle.stop_graceful(None);
         let _ = self.server.await;
     }
@@ -172,7 +173,6 @@
     control.send(Event::Drain);
     let stop = async {
         tokio::time::sleep(settings.unready).await;
-        info!(logger, "listeners_closed");
         traffic.stop().await;
     };
     tokio::pin!(stop);
--- a/entry/tests/process.rs
+++ b/entry/tests/process.rs
@@ -185,10 +185,7 @@
 
     assert_eq!(silent.read(&mut [0]).await.unwrap_or(0), 0);
     assert_eq!(idle.read(&mut [0]).await.unwrap_or(0), 0);
-    // The listener closes right after the line was logged.
-    while TcpStream::connect(process.listen).await.is_ok() {
-        tokio::task::yield_now().await;
-    }
+    assert!(TcpStream::connect(process.listen).await.is_err());
     assert!(process.child.try_wait().unwrap().is_none());
     go_on.notify_one();
     slow.read_to_end(&mut seen).await.unwrap();
