Renew promises under a changed roster; let hedges overflow

Cause, votes: a voter whose roster had changed less than LEASE_TTL ago did not vote at all, so every replaced VM left all targets of its region without owners for 2 to 3 s. A renewal for the claimant that already holds the promise cannot complete a second quorum, so it is given. The new test failed on the renewal before the change.

Cause, hedges: a hedge needed a free credit of this entry. A hedge now also uses the overflow to a warm target.

--- a/control/src/answer.rs
+++ b/control/src/answer.rs
@@ -113,7 +113,7 @@
         {
             let choice = self.choose(now, &request);
             self.requests.insert(id, request);
-            if let Choice::Target(index, "credit") = choice
+            if let Choice::Target(index, _) = choice
                 && self.fleet.services[service].hedges.spend()
             {
                 return self.dispatch(now, id, index, "hedge", out);
--- a/control/src/owner.rs
+++ b/control/src/owner.rs
@@ -46,6 +46,12 @@
         true
     }
 
+    /// True while this entry is bound to the claimant.
+    fn bound_to(&self, now: Duration, target: TargetId, claimant: (NodeId, u64)) -> bool {
+        let promise = self.promises.get(&target);
+        promise.is_some_and(|p| p.claimant == claimant && now < p.until)
+    }
+
     /// Returns the claimant that this entry voted for last and when the promise ends.
     pub fn promised(&self, target: TargetId) -> Option<(NodeId, Duration)> {
         let promise = self.promises.get(&target)?;
@@ -273,14 +279,19 @@
         if self.faults.skip_votes {
             return targets.to_vec();
         }
-        let settled = now >= LEASE_TTL && now.saturating_sub(roster.since) >= LEASE_TTL;
-        if !settled || !roster.nodes.contains(&claimant.0) {
+        if now < LEASE_TTL || !roster.nodes.contains(&claimant.0) {
             return Vec::new();
         }
+        // Under a roster that has just changed, a vote for a new claimant could complete a second
+        // quorum. Renewing a promise cannot, and keeps the owners while VMs are replaced.
+        let settled = now.saturating_sub(roster.since) >= LEASE_TTL;
+        let ballots = &mut self.ballots;
         targets
             .iter()
             .copied()
-            .filter(|t| self.ballots.vote(now, *t, claimant))
+            .filter(|t| {
+                (settled || ballots.bound_to(now, *t, claimant)) && ballots.vote(now, *t, claimant)
+            })
             .collect()
     }
 
--- a/control/tests/ownership.rs
+++ b/control/tests/ownership.rs
@@ -34,17 +34,43 @@
     entry.apply(Event::VmList(vm_list(&["e1", "e2", "e3"], &[])));
     let effects = entry.pass(ms(1400));
     assert!(sent(&effects).all(|(_, m)| !matches!(m, Message::Claim { .. })));
-    let mut other = Entry::start(Policy::Credits, bundle(1, &[("t1", 0)]));
-    other.apply(Event::VmList(vm_list(&["e1", "e2", "e3"], &[])));
-    let effects = other.pass(ms(3000));
+    (entry, roster_hash(&["e1", "e2", "e3"]))
+}
+
+/// Returns the hash of the roster of these entries, as a claim carries it.
+fn roster_hash(names: &[&str]) -> u64 {
+    let mut entry = Entry::start(Policy::Credits, bundle(1, &[("t1", 0)]));
+    entry.apply(Event::VmList(vm_list(names, &[])));
+    let effects = entry.pass(ms(3000));
     let hash = sent(&effects).find_map(|(_, message)| match message {
         Message::Claim { roster, .. } => Some(*roster),
         _ => None,
     });
-    (
-        entry,
-        hash.expect("an entry that hears no peer claims its target"),
-    )
+    hash.expect("an entry that hears no peer claims its target")
+}
+
+/// Guards against a region whose targets have no owner for seconds whenever a VM is replaced, and
+/// against a change of roster that lets another claimant in early.
+#[test]
+fn a_new_roster_renews_promises_only() {
+    let (mut entry, hash) = voter();
+    entry.now += ms(2000);
+    assert!(votes(&mut entry, "e2", 1, hash));
+    entry.apply(Event::VmList(vm_list(&["e1", "e2", "e4"], &[])));
+    let hash = roster_hash(&["e1", "e2", "e4"]);
+    entry.now += ms(500);
+    assert!(!votes(&mut entry, "e4", 1, hash), "promised to e2");
+    assert!(votes(&mut entry, "e2", 1, hash), "renewal");
+    assert!(!votes(&mut entry, "e2", 2, hash), "e2 has restarted");
+    entry.apply(Event::VmList(vm_list(&["e1", "e2", "e3"], &[])));
+    entry.now += ms(1499);
+    assert!(votes(&mut entry, "e2", 1, roster_hash(&["e1", "e2", "e3"])));
+    entry.apply(Event::VmList(vm_list(&["e1", "e2", "e4"], &[])));
+    entry.now += ms(1499);
+    entry.apply(Event::VmList(vm_list(&["e1", "e2", "e3"], &[])));
+    entry.now += ms(2);
+    let hash = roster_hash(&["e1", "e2", "e3"]);
+    assert!(!votes(&mut entry, "e2", 1, hash), "the promise has ended");
 }
 
 fn votes(entry: &mut Entry, name: &str, incarnation: u64, roster: u64) -> bool {
