--- a/cli/src/error.rs
+++ b/cli/src/error.rs
@@ -75,9 +75,9 @@
         Node(step: &'static str, peer: String, why: String) {
             display("{step} from {peer}: {why}")
         }
-        /// The store gave no usable answer, and nothing was accepted.
+        /// The store gave no usable answer. Whether a write took effect is told by `Unknown`.
         Store(step: &'static str, peer: String, why: String) {
-            display("{step}, store {peer}: {why}; nothing was accepted")
+            display("{step}, store {peer}: {why}")
         }
         /// Another version was accepted.
         LostRace(peer: String, ours: Version, winner: Box<Winner>) {
--- a/cli/src/main.rs
+++ b/cli/src/main.rs
@@ -55,7 +55,7 @@
     let args = match Args::from_args(&["lacewingmoor"], &words) {
         Ok(args) => args,
         Err(exit) if exit.status.is_ok() => {
-            println!("{}", exit.output);
+            util::print_line(&exit.output);
             return ExitCode::SUCCESS;
         }
         Err(exit) => {
--- a/cli/src/util.rs
+++ b/cli/src/util.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::fs;
+use std::io::{self, Write as _};
 use std::path::Path;
 use std::process::ExitCode;
 
@@ -40,15 +41,15 @@
 pub fn finish(json: bool, result: Result<Answer, Error>) -> ExitCode {
     let exit = match (result, json) {
         (Ok(answer), true) => {
-            println!("{:#}", answer.json);
+            print_line(&format!("{:#}", answer.json));
             answer.exit
         }
         (Ok(answer), false) => {
-            println!("{}", answer.text.trim_end());
+            print_line(answer.text.trim_end());
             answer.exit
         }
         (Err(error), true) => {
-            println!("{:#}", error.json());
+            print_line(&format!("{:#}", error.json()));
             error.exit()
         }
         (Err(error), false) => {
@@ -59,6 +60,12 @@
     ExitCode::from(exit as u8)
 }
 
+/// Writes a line to standard output. A reader that has gone, such as `head`, is not an error; the
+/// exit code still tells the outcome.
+pub fn print_line(line: &str) {
+    let _ = writeln!(io::stdout(), "{line}");
+}
+
 /// Reads a text file.
 ///
 /// # Errors
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -143,3 +143,20 @@
         assert!(result.out.contains(part), "{}", result.out);
     }
 }
+
+/// Guards against a panic instead of an exit code when the reader of the output has gone.
+#[test]
+fn a_closed_output_is_not_an_error() {
+    let (reader, writer) = std::io::pipe().unwrap();
+    drop(reader);
+    let bundle = concat!(
+        env!("CARGO_MANIFEST_DIR"),
+        "/../examples/isarbrunn.bundle.yaml"
+    );
+    let status = std::process::Command::new(env!("CARGO_BIN_EXE_lacewingmoor"))
+        .args(["check", bundle])
+        .stdout(writer)
+        .status()
+        .unwrap();
+    assert_eq!(status.code(), Some(0));
+}
