Bound the overflow and steer it by load reports

Cause: overflow took the better of two random warm targets and let every entry have as many requests there as the target has slots. With 16 entries up to 48 requests stood at one target of 4 slots, seen while a fleet started and in bursts. Reports age fastest on a stalled target, so that it even looked attractive.

An entry now overflows to the target with the least load by its last report, up to its static share on top of its credits, and only while the target has less than twice its slots running and waiting; after 100 ms of waiting the last bound falls, so that lost reports cannot hold a request back. A report fades to nearly twice the slots within 200 ms.

--- a/control/src/select.rs
+++ b/control/src/select.rs
@@ -23,6 +23,12 @@
 /// Multiple of the service's mean latency that a request waits for a target that is not stalled.
 const STALL_PATIENCE: f64 = 2.0;
 
+/// Requests at a target, as a multiple of its slots, from which nothing overflows to it.
+const OVERFLOW_CROWD: f64 = 2.0;
+
+/// Queueing time after which a request overflows whatever the reports say.
+const OVERFLOW_REGARDLESS: Duration = Duration::from_millis(100);
+
 /// Queueing time, as a share of the service's mean latency, after which a request goes to a warm
 /// target without a credit. Moving a credit takes four messages; under load or on a slow entry
 /// that takes longer than the request would wait at a target.
@@ -163,34 +169,41 @@
         mean.mul_f64(OVERFLOW_PATIENCE).max(OVERFLOW_PATIENCE_MIN)
     }
 
-    /// Chooses a warm target of this region without a credit for a request that has waited long:
-    /// the better of two random ones by what this entry has in flight and expects.
+    /// Chooses a warm target of this region without a credit for a request that has waited long: the
+    /// one with the least load by its last report, its latency taken into account.
     fn choose_overflow(&mut self, now: Duration, request: &Request) -> Choice {
         let service = request.rules.service;
         if now.saturating_sub(request.arrived) < self.overflow_patience(service) {
             return Choice::Busy;
         }
         let mean = self.fleet.services[service].latency.mean().as_secs_f64();
+        let late = now.saturating_sub(request.arrived) > OVERFLOW_REGARDLESS;
         let range = self.fleet.services[service].targets.clone();
         let open: Vec<usize> = range
             .filter(|i| {
                 let target = &self.fleet.targets[*i];
+                let share = (target.slots / self.entries_here).max(1);
                 Self::allowed(target, request)
                     && Some(target.region) == self.region
                     && target.is_warm(now)
-                    && target.in_flight < target.slots
+                    && target.in_flight < target.credit.slots(now) + share
+                    && (late || target.crowd(now) < OVERFLOW_CROWD * f64::from(target.slots))
             })
             .collect();
         if open.is_empty() {
             return Choice::Busy;
         }
-        let cost = |i: usize| {
-            let target = &self.fleet.targets[i];
-            f64::from(target.in_flight + 1) * target.latency.expected(now, mean)
-        };
-        let one = open[self.rng.random_range(0..open.len())];
-        let other = open[self.rng.random_range(0..open.len())];
-        let best = if cost(other) < cost(one) { other } else { one };
+        let mut best = (f64::INFINITY, open[0]);
+        for index in open {
+            let target = &self.fleet.targets[index];
+            // The jitter keeps entries with the same reports from choosing the same target.
+            let crowd = target.crowd(now) + self.rng.random_range(0.0..1.0);
+            let cost = (crowd + 1.0) * target.latency.expected(now, mean);
+            if cost < best.0 {
+                best = (cost, index);
+            }
+        }
+        let best = best.1;
         Choice::Target(best, "overflow")
     }
 
--- a/control/src/target.rs
+++ b/control/src/target.rs
@@ -24,6 +24,9 @@
 /// Time after a shed during which nothing may wait at the target.
 const OVERCOMMIT_PAUSE: Duration = Duration::from_secs(10);
 
+/// Age at which the load in a report says nothing any more.
+const LOAD_REPORT_FADE: Duration = Duration::from_millis(200);
+
 /// Phase of the warm-up.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(crate) enum Phase {
@@ -77,6 +80,8 @@
     shed: Option<Shed>,
     streak: u32,
     failed: u32,
+    /// Requests running and waiting at the target by its last report, and when that came.
+    reported_load: Option<(Duration, u32)>,
     /// Time of the last load report, or of an answer that another entry told of.
     pub evidence: Option<Duration>,
     /// What this entry saw last that its owner has not confirmed.
@@ -129,6 +134,7 @@
             shed: None,
             streak: 0,
             failed: 0,
+            reported_load: None,
             evidence: None,
             unheard: None,
             ranked: None,
@@ -258,6 +264,22 @@
         }
     }
 
+    /// Estimates the requests running and waiting at the target, those of other entries included.
+    /// A report loses its weight with age in favour of nearly twice the slots: a target that reports
+    /// seldom answers seldom, and may well be the one that has stalled.
+    pub fn crowd(&self, now: Duration) -> f64 {
+        let unheard = 2.0 * f64::from(self.slots) - 1.0;
+        let known = match self.reported_load {
+            Some((at, load)) => {
+                let age = now.saturating_sub(at).as_secs_f64() / LOAD_REPORT_FADE.as_secs_f64();
+                let load = f64::from(load);
+                load + (unheard - load) * age.min(1.0)
+            }
+            None => f64::from(self.slots),
+        };
+        known.max(f64::from(self.in_flight))
+    }
+
     /// Makes the target cold.
     pub fn turn_cold(&mut self, now: Duration) {
         self.phase = Phase::Cold;
--- a/control/src/target/evidence.rs
+++ b/control/src/target/evidence.rs
@@ -50,6 +50,7 @@
     /// Takes a load report that was asked for after the last change.
     pub fn reported(&mut self, now: Duration, report: &LoadReport) -> Option<Sight> {
         self.evidence = Some(now);
+        self.reported_load = Some((now, report.in_flight.saturating_add(report.queue)));
         let restarted = self.start.is_some_and(|s| s != report.start);
         self.start = Some(report.start);
         if restarted {
--- a/control/tests/targets.rs
+++ b/control/tests/targets.rs
@@ -313,3 +313,33 @@
     let reason = refusal(&entry.arrive(20, "GET", "/find"));
     assert_eq!(reason, Some((Fate::NotRun, Reason::Isolated)));
 }
+
+struct Overflow {
+    guards: &'static str,
+    state: TargetState,
+    /// Requests sent at once, after half the mean latency, and after a long wait.
+    sent: [usize; 3],
+}
+
+/// The target has 4 slots, of which a cold one bears 1; a warm one is granted 2 on top. This is the
+/// only entry, so that its share is 4.
+#[rstest]
+#[case(Overflow { guards: "requests that wait flood a cold target",
+    state: TargetState::Cold, sent: [1, 1, 1] })]
+#[case(Overflow { guards: "requests wait for credits for ever, or all go to one warm target",
+    state: TargetState::Warm, sent: [6, 8, 10] })]
+fn waiting_requests_overflow_within_bounds(#[case] case: Overflow) {
+    let mut entry = Entry::start(Policy::Credits, bundle(1, &[("t1", 0)]));
+    probed(&mut entry, case.state, 1);
+    entry.pass(ms(3500));
+    let mut sent = 0;
+    for id in 1..=40 {
+        sent += dispatches(&entry.arrive(id, "GET", "/find")).len();
+    }
+    let mut got = [sent, 0, 0];
+    sent += dispatches(&entry.pass(ms(90))).len();
+    got[1] = sent;
+    sent += dispatches(&entry.pass(ms(200))).len();
+    got[2] = sent;
+    assert_eq!(got, case.sent, "guards: {}", case.guards);
+}
