--- a/control/src/select.rs
+++ b/control/src/select.rs
@@ -104,7 +104,6 @@
         if candidates.is_empty() {
             return Choice::Nowhere;
         }
-        let entries = self.fleet.entries_of(&self.setup.region);
         let offset = self.rng.random_range(0..candidates.len());
         let (after, before) = candidates.split_at(offset);
         let free = before
@@ -112,7 +111,7 @@
             .chain(after)
             .copied()
             .map(|i| (self.fleet.targets[i].in_flight, i))
-            .filter(|(busy, i)| *busy < (self.fleet.targets[*i].slots / entries).max(1))
+            .filter(|(busy, i)| *busy < self.static_share(&self.fleet.targets[*i]))
             .min_by_key(|(busy, _)| *busy);
         match free {
             Some((_, i)) => Choice::Target(i, "static_share"),
@@ -182,29 +181,32 @@
         let open: Vec<usize> = range
             .filter(|i| {
                 let target = &self.fleet.targets[*i];
-                let share = (target.slots / self.entries_here).max(1);
                 Self::allowed(target, request)
                     && Some(target.region) == self.region
                     && target.is_warm(now)
-                    && target.in_flight < target.credit.slots(now) + share
+                    && target.in_flight < target.credit.slots(now) + self.static_share(target)
                     && (late || target.crowd(now) < OVERFLOW_CROWD * f64::from(target.slots))
             })
             .collect();
-        if open.is_empty() {
-            return Choice::Busy;
-        }
-        let mut best = (f64::INFINITY, open[0]);
+        let mut best: Option<(f64, usize)> = None;
         for index in open {
             let target = &self.fleet.targets[index];
             // The jitter keeps entries with the same reports from choosing the same target.
             let crowd = target.crowd(now) + self.rng.random_range(0.0..1.0);
             let cost = (crowd + 1.0) * target.latency.expected(now, mean);
-            if cost < best.0 {
-                best = (cost, index);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, index));
             }
         }
-        let best = best.1;
-        Choice::Target(best, "overflow")
+        match best {
+            Some((_, index)) => Choice::Target(index, "overflow"),
+            None => Choice::Busy,
+        }
+    }
+
+    /// Returns the slots of a target divided by the entries of this region, at least one.
+    fn static_share(&self, target: &Target) -> u32 {
+        (target.slots / self.entries_here).max(1)
     }
 
     /// Returns why this entry may use a slot of the target now, if it may.
@@ -219,14 +221,11 @@
         if target.in_flight < slots {
             return Some("credit");
         }
-        if Some(target.region) != self.region || !target.is_warm(now) {
-            return None;
-        }
-        if credit.owner_present(now) {
+        let here = Some(target.region) == self.region;
+        if !here || !target.is_warm(now) || credit.owner_present(now) {
             return None;
         }
-        let share = (target.slots / self.entries_here).max(1);
-        (target.in_flight < share).then_some("static_share")
+        (target.in_flight < self.static_share(target)).then_some("static_share")
     }
 
     /// Returns the network delay there and back in seconds.
