Name grants, observations and load estimates by the usual terms; share the fleet set-up

Lender, Borrower, Sight and crowd were private words for the ledger of grants, a grantee, an observation and an estimated load. compare and control_cost built the same fleet twice and now call Fleet::populate. No behaviour changes; the checks are as before.

--- a/control/src/answer.rs
+++ b/control/src/answer.rs
@@ -83,7 +83,7 @@
         if !open.head {
             target.latency.settled(now);
         }
-        let sight = match outcome {
+        let observation = match outcome {
             Outcome::NotSent if open.sent >= target.since => target.refused(now),
             Outcome::Shed => target.shed(now),
             Outcome::Broken | Outcome::Cut if open.sent >= target.since => {
@@ -92,7 +92,7 @@
             _ => None,
         };
         self.fleet.services[service].dirty |= shrunk;
-        self.saw(now, open.target, sight, out);
+        self.saw(now, open.target, observation, out);
     }
 
     /// Starts a second attempt of a request whose first one takes longer than most. While requests
@@ -215,10 +215,10 @@
             Stage::Running => {
                 for open in request.open.clone() {
                     let target = self.fleet.get_mut(open.target);
-                    let sight = target
+                    let observation = target
                         .filter(|t| open.sent >= t.since)
                         .and_then(|t| t.bad_answer(now, true));
-                    self.saw(now, open.target, sight, out);
+                    self.saw(now, open.target, observation, out);
                 }
                 self.give_up(now, id, Reason::Timeout, out);
             }
@@ -248,7 +248,7 @@
             return;
         };
         target.latency.settled(now);
-        let sight = target.answered(now, sent, success, report);
-        self.saw(now, id, sight, out);
+        let observation = target.answered(now, sent, success, report);
+        self.saw(now, id, observation, out);
     }
 }
--- a/control/src/credit.rs
+++ b/control/src/credit.rs
@@ -12,7 +12,7 @@
 
 /// An entry that uses or wants slots of a target.
 #[derive(Clone, Debug)]
-struct Borrower {
+struct Grantee {
     node: NodeId,
     incarnation: u64,
     /// Send time of its last demand, on its clock.
@@ -33,8 +33,8 @@
 
 /// Books of the owner of one target.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Lender {
-    borrowers: Vec<Borrower>,
+pub(crate) struct GrantLedger {
+    grantees: Vec<Grantee>,
 }
 
 /// A grant to be sent.
@@ -54,7 +54,7 @@
     pub cautious: bool,
 }
 
-impl Lender {
+impl GrantLedger {
     /// Takes a demand; returns false if a later one of the same process came first.
     pub fn demand(
         &mut self,
@@ -64,11 +64,11 @@
         item: &DemandItem,
     ) -> bool {
         let known = self
-            .borrowers
+            .grantees
             .iter()
             .position(|b| (b.node, b.incarnation) == from);
         let at = known.unwrap_or_else(|| {
-            self.borrowers.push(Borrower {
+            self.grantees.push(Grantee {
                 node: from.0,
                 incarnation: from.1,
                 sent: Duration::ZERO,
@@ -80,49 +80,49 @@
                 unanswered: false,
                 order: rendezvous(item.target, from.0),
             });
-            self.borrowers.len() - 1
+            self.grantees.len() - 1
         });
-        let borrower = &mut self.borrowers[at];
-        if sent < borrower.sent {
+        let grantee = &mut self.grantees[at];
+        if sent < grantee.sent {
             return false;
         }
         // Grants that answer earlier demands are void at the entry once it has sent a new one.
-        borrower.sent = sent;
-        borrower.wanted = item.wanted;
-        borrower.spare = item.spare;
-        borrower.told = item.held;
-        borrower.bound = item.held.max(item.in_use);
-        borrower.until = now + GRANT_TTL;
-        borrower.unanswered = true;
+        grantee.sent = sent;
+        grantee.wanted = item.wanted;
+        grantee.spare = item.spare;
+        grantee.told = item.held;
+        grantee.bound = item.held.max(item.in_use);
+        grantee.until = now + GRANT_TTL;
+        grantee.unanswered = true;
         true
     }
 
     /// Forgets entries whose grants have expired; those that may still use slots are kept longer.
     fn expire(&mut self, now: Duration, strict: bool) {
         let hold = if strict { SILENT_HOLD } else { Duration::ZERO };
-        self.borrowers
+        self.grantees
             .retain(|b| now < b.until || (b.bound > 0 && now < b.until + hold));
     }
 
     /// Returns the slots that entries hold or may have in use.
     pub fn outstanding(&self) -> u32 {
-        self.borrowers.iter().map(|b| b.bound).sum()
+        self.grantees.iter().map(|b| b.bound).sum()
     }
 
     /// Returns the slots of unexpired grants.
     pub fn granted(&self, now: Duration) -> u32 {
-        let live = self.borrowers.iter().filter(|b| now < b.until);
+        let live = self.grantees.iter().filter(|b| now < b.until);
         live.map(|b| b.told).sum()
     }
 
     /// Divides the cap anew; returns what has to be sent.
     pub fn divide(&mut self, now: Duration, division: &Division) -> Vec<Granted> {
         self.expire(now, division.strict);
-        let live: Vec<usize> = (0..self.borrowers.len())
-            .filter(|i| now < self.borrowers[*i].until)
+        let live: Vec<usize> = (0..self.grantees.len())
+            .filter(|i| now < self.grantees[*i].until)
             .collect();
         let silent: u32 = self
-            .borrowers
+            .grantees
             .iter()
             .filter(|b| now >= b.until)
             .map(|b| b.bound)
@@ -133,26 +133,26 @@
         let excess = outstanding.saturating_sub(division.cap);
         let mut grants = Vec::new();
         for (i, share) in live.into_iter().zip(shares) {
-            let borrower = &mut self.borrowers[i];
+            let grantee = &mut self.grantees[i];
             let mut slots = share;
-            if division.cautious && share > borrower.bound {
-                let raise = (share - borrower.bound).min(free);
+            if division.cautious && share > grantee.bound {
+                let raise = (share - grantee.bound).min(free);
                 free -= raise;
-                slots = borrower.bound + raise;
+                slots = grantee.bound + raise;
             }
             if division.cautious && excess > 0 {
                 // A credit for a slot that is in use beyond the cap would keep it in use.
-                slots = slots.min(borrower.told.max(borrower.bound.saturating_sub(excess)));
+                slots = slots.min(grantee.told.max(grantee.bound.saturating_sub(excess)));
             }
-            if slots == borrower.told && !borrower.unanswered {
+            if slots == grantee.told && !grantee.unanswered {
                 continue;
             }
-            borrower.told = slots;
-            borrower.bound = borrower.bound.max(slots);
-            borrower.unanswered = false;
+            grantee.told = slots;
+            grantee.bound = grantee.bound.max(slots);
+            grantee.unanswered = false;
             grants.push(Granted {
-                node: borrower.node,
-                demand_sent: borrower.sent,
+                node: grantee.node,
+                demand_sent: grantee.sent,
                 slots,
             });
         }
@@ -170,7 +170,7 @@
                     .zip(&shares)
                     .enumerate()
                     .filter_map(|(k, (i, share))| {
-                        let b = &self.borrowers[*i];
+                        let b = &self.grantees[*i];
                         let want = b.wanted + if with_spare { b.spare } else { 0 };
                         // The largest quotient goes first; among equals, slots stay where they are.
                         let quotient = u64::from(want) * 1024 / u64::from(share + 1);
@@ -208,7 +208,7 @@
             let target = &mut self.fleet.targets[index];
             // Demands that come before the votes are complete count as well: they tell what is
             // in use.
-            if target.lender.demand(now, from, sent, item) && target.lease.owned(now) {
+            if target.ledger.demand(now, from, sent, item) && target.lease.owned(now) {
                 if item.answered > 0 && from.0 != self.node {
                     target.confirm(now);
                 }
@@ -229,15 +229,15 @@
         }
         let strict = !target.is_warm(now);
         let cap = target.cap(now);
-        let before = target.lender.granted(now);
+        let before = target.ledger.granted(now);
         let division = Division {
             cap,
             strict,
             cautious: !self.faults.ignore_outstanding,
         };
-        let grants = target.lender.divide(now, &division);
+        let grants = target.ledger.divide(now, &division);
         target.divided_cap = cap;
-        let after = target.lender.granted(now);
+        let after = target.ledger.granted(now);
         let state = target.state(now);
         let id = target.id;
         if after > cap && after > before && !self.faults.any() {
--- a/control/src/demand.rs
+++ b/control/src/demand.rs
@@ -291,13 +291,16 @@
             if demand_sent < target.since {
                 continue;
             }
-            match target.unheard.take() {
+            match target.unconfirmed.take() {
                 // The owner still believes in a state that this entry has seen refuted.
-                Some(sight) if item.state == TargetState::Warm => {
+                Some(observation) if item.state == TargetState::Warm => {
                     let target = item.target;
                     out.push(Effect::Send {
                         to: from,
-                        message: Message::Observe { target, sight },
+                        message: Message::Observe {
+                            target,
+                            observation,
+                        },
                     });
                 }
                 _ => target.told(now, demand_sent, item.state),
--- a/control/src/exchange.rs
+++ b/control/src/exchange.rs
@@ -97,9 +97,12 @@
             Message::Grant { demand_sent, items } => {
                 self.take_grant(now, node, demand_sent, &items, out);
             }
-            Message::Observe { target, sight } => {
+            Message::Observe {
+                target,
+                observation,
+            } => {
                 if let Some(index) = self.fleet.index(target) {
-                    self.fleet.targets[index].observed(now, &sight);
+                    self.fleet.targets[index].observed(now, &observation);
                     self.redivide(now, index, out);
                 }
             }
--- a/control/src/log.rs
+++ b/control/src/log.rs
@@ -4,7 +4,7 @@
 
 use lacewingmoor_bundle::TargetId;
 
-use crate::{Attempt, Decision, DecisionKind, Effect, Message, RequestId, Sight, State};
+use crate::{Attempt, Decision, DecisionKind, Effect, Message, Observation, RequestId, State};
 
 impl State {
     /// Acts on something seen at a target.
@@ -12,18 +12,18 @@
         &mut self,
         now: Duration,
         id: TargetId,
-        sight: Option<Sight>,
+        observation: Option<Observation>,
         out: &mut Vec<Effect>,
     ) {
-        let (Some(sight), Some(index)) = (sight, self.fleet.index(id)) else {
+        let (Some(observation), Some(index)) = (observation, self.fleet.index(id)) else {
             return;
         };
-        let reason = match sight {
-            Sight::Refused => "refused",
-            Sight::Shed => "shed",
-            Sight::Restarted { .. } => "restarted",
-            Sight::Draining => "draining",
-            Sight::Collapsed => "collapsed",
+        let reason = match observation {
+            Observation::Refused => "refused",
+            Observation::Shed => "shed",
+            Observation::Restarted { .. } => "restarted",
+            Observation::Draining => "draining",
+            Observation::Collapsed => "collapsed",
         };
         self.decide(
             DecisionKind::TargetState,
@@ -40,11 +40,14 @@
             self.redivide(now, index, out);
             return;
         }
-        self.fleet.targets[index].unheard = Some(sight.clone());
+        self.fleet.targets[index].unconfirmed = Some(observation.clone());
         if let Some(owner) = self.owner_of(now, index) {
             out.push(Effect::Send {
                 to: owner,
-                message: Message::Observe { target: id, sight },
+                message: Message::Observe {
+                    target: id,
+                    observation,
+                },
             });
         }
     }
--- a/control/src/message.rs
+++ b/control/src/message.rs
@@ -47,7 +47,7 @@
         /// The target.
         target: TargetId,
         /// What was seen.
-        sight: Sight,
+        observation: Observation,
     },
 }
 
@@ -116,7 +116,7 @@
 
 /// What an entry saw on the answers of a target that it does not own.
 #[wire]
-pub enum Sight {
+pub enum Observation {
     /// The connection was refused.
     Refused,
     /// The target declared a request unrun.
--- a/control/src/probe.rs
+++ b/control/src/probe.rs
@@ -116,7 +116,7 @@
         };
         let target = &mut self.fleet.targets[index];
         target.probe.open = None;
-        let sight = match report {
+        let observation = match report {
             Some(report) => {
                 target.probe.failures = 0;
                 target.reachable();
@@ -132,7 +132,7 @@
             }
         };
         let state = target.state(now);
-        self.saw(now, id, sight, out);
+        self.saw(now, id, observation, out);
         if self.fleet.targets[index].state(now) != state {
             self.decide(
                 DecisionKind::TargetState,
--- a/control/src/select.rs
+++ b/control/src/select.rs
@@ -24,7 +24,7 @@
 const STALL_PATIENCE: f64 = 2.0;
 
 /// Requests at a target, as a multiple of its slots, from which nothing overflows to it.
-const OVERFLOW_CROWD: f64 = 2.0;
+const OVERFLOW_LOAD_MAX: f64 = 2.0;
 
 /// Queueing time after which a request overflows whatever the reports say.
 const OVERFLOW_REGARDLESS: Duration = Duration::from_millis(100);
@@ -185,15 +185,16 @@
                     && Some(target.region) == self.region
                     && target.is_warm(now)
                     && target.in_flight < target.credit.slots(now) + self.static_share(target)
-                    && (late || target.crowd(now) < OVERFLOW_CROWD * f64::from(target.slots))
+                    && (late
+                        || target.estimated_load(now) < OVERFLOW_LOAD_MAX * f64::from(target.slots))
             })
             .collect();
         let mut best: Option<(f64, usize)> = None;
         for index in open {
             let target = &self.fleet.targets[index];
             // The jitter keeps entries with the same reports from choosing the same target.
-            let crowd = target.crowd(now) + self.rng.random_range(0.0..1.0);
-            let cost = (crowd + 1.0) * target.latency.expected(now, mean);
+            let load = target.estimated_load(now) + self.rng.random_range(0.0..1.0);
+            let cost = (load + 1.0) * target.latency.expected(now, mean);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, index));
             }
--- a/control/src/status.rs
+++ b/control/src/status.rs
@@ -116,7 +116,7 @@
             owned: target.lease.owned(now),
             credits: target.credit.slots(now),
             in_flight: target.in_flight,
-            granted: target.lender.granted(now),
+            granted: target.ledger.granted(now),
             latency_ms: target.latency.recent().map(|d| d.as_secs_f64() * 1e3),
         }
     }
--- a/control/src/target.rs
+++ b/control/src/target.rs
@@ -7,12 +7,12 @@
 
 use lacewingmoor_bundle::{NodeId, RegionId, Service, TargetId, ZoneId};
 
-use crate::credit::Lender;
+use crate::credit::GrantLedger;
 use crate::demand::Credit;
 use crate::latency::Latency;
 use crate::owner::Lease;
 use crate::probe::Probing;
-use crate::{Sight, TargetState};
+use crate::{Observation, TargetState};
 
 /// Time for one slot to come back after a target shed.
 const SHED_RECOVERY: Duration = Duration::from_millis(500);
@@ -85,13 +85,13 @@
     /// Time of the last load report, or of an answer that another entry told of.
     pub evidence: Option<Duration>,
     /// What this entry saw last that its owner has not confirmed.
-    pub unheard: Option<Sight>,
+    pub unconfirmed: Option<Observation>,
     /// Entry that is ranked first among those alive.
     pub ranked: Option<NodeId>,
     /// Ownership by this entry.
     pub lease: Lease,
     /// Books of this entry as the owner.
-    pub lender: Lender,
+    pub ledger: GrantLedger,
     /// Cap at the last division.
     pub divided_cap: u32,
     /// Probing by this entry as the owner.
@@ -136,10 +136,10 @@
             failed: 0,
             reported_load: None,
             evidence: None,
-            unheard: None,
+            unconfirmed: None,
             ranked: None,
             lease: Lease::default(),
-            lender: Lender::default(),
+            ledger: GrantLedger::default(),
             divided_cap: 0,
             probe: Probing::default(),
             credit: Credit::default(),
@@ -267,13 +267,13 @@
     /// Estimates the requests running and waiting at the target, those of other entries included.
     /// A report loses its weight with age in favour of nearly twice the slots: a target that reports
     /// seldom answers seldom, and may well be the one that has stalled.
-    pub fn crowd(&self, now: Duration) -> f64 {
-        let unheard = 2.0 * f64::from(self.slots) - 1.0;
+    pub fn estimated_load(&self, now: Duration) -> f64 {
+        let unreported = 2.0 * f64::from(self.slots) - 1.0;
         let known = match self.reported_load {
             Some((at, load)) => {
                 let age = now.saturating_sub(at).as_secs_f64() / LOAD_REPORT_FADE.as_secs_f64();
                 let load = f64::from(load);
-                load + (unheard - load) * age.min(1.0)
+                load + (unreported - load) * age.min(1.0)
             }
             None => f64::from(self.slots),
         };
--- a/control/src/target/evidence.rs
+++ b/control/src/target/evidence.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use super::{Down, Phase, Shed, Target};
-use crate::{LoadReport, Sight, TargetState};
+use crate::{LoadReport, Observation, TargetState};
 
 /// Longest time between two successful answers that counts towards warming up.
 const WARM_GAP_MAX: Duration = Duration::from_millis(500);
@@ -26,13 +26,13 @@
         sent: Duration,
         success: bool,
         report: Option<&LoadReport>,
-    ) -> Option<Sight> {
+    ) -> Option<Observation> {
         let far = self.latency.add(now, now.saturating_sub(sent));
         if sent < self.since {
             return None;
         }
-        if let Some(sight) = report.and_then(|r| self.reported(now, r)) {
-            return Some(sight);
+        if let Some(observation) = report.and_then(|r| self.reported(now, r)) {
+            return Some(observation);
         }
         if success {
             self.down = None;
@@ -48,14 +48,14 @@
     }
 
     /// Takes a load report that was asked for after the last change.
-    pub fn reported(&mut self, now: Duration, report: &LoadReport) -> Option<Sight> {
+    pub fn reported(&mut self, now: Duration, report: &LoadReport) -> Option<Observation> {
         self.evidence = Some(now);
         self.reported_load = Some((now, report.in_flight.saturating_add(report.queue)));
         let restarted = self.start.is_some_and(|s| s != report.start);
         self.start = Some(report.start);
         if restarted {
             self.turn_cold(now);
-            return Some(Sight::Restarted {
+            return Some(Observation::Restarted {
                 start: report.start,
             });
         }
@@ -63,12 +63,12 @@
             TargetState::Draining | TargetState::Leaving => {
                 let news = !self.draining;
                 self.draining = true;
-                return news.then_some(Sight::Draining);
+                return news.then_some(Observation::Draining);
             }
             TargetState::Cold if self.unknown => self.turn_cold(now),
             TargetState::Cold if self.phase == Phase::Warm => {
                 self.turn_cold(now);
-                return Some(Sight::Collapsed);
+                return Some(Observation::Collapsed);
             }
             TargetState::Warm if self.unknown => {
                 self.phase = Phase::Warm;
@@ -105,18 +105,18 @@
     }
 
     /// Notes a failed attempt, or an answer that is far too slow.
-    pub fn bad_answer(&mut self, now: Duration, failed: bool) -> Option<Sight> {
+    pub fn bad_answer(&mut self, now: Duration, failed: bool) -> Option<Observation> {
         self.streak += 1;
         self.failed += u32::from(failed);
         if self.phase != Phase::Warm || self.streak < COLLAPSE_STREAK || self.failed < 2 {
             return None;
         }
         self.turn_cold(now);
-        Some(Sight::Collapsed)
+        Some(Observation::Collapsed)
     }
 
     /// Notes a refused connection.
-    pub fn refused(&mut self, now: Duration) -> Option<Sight> {
+    pub fn refused(&mut self, now: Duration) -> Option<Observation> {
         let wait = match &self.down {
             Some(down) if now < down.until => return None,
             Some(down) => (down.wait * 2).min(DOWN_MAX),
@@ -127,7 +127,7 @@
             until: now + wait,
             wait,
         });
-        Some(Sight::Refused)
+        Some(Observation::Refused)
     }
 
     /// Notes that the target accepts connections again.
@@ -141,7 +141,7 @@
     }
 
     /// Notes that the target declared a request unrun.
-    pub fn shed(&mut self, now: Duration) -> Option<Sight> {
+    pub fn shed(&mut self, now: Duration) -> Option<Observation> {
         if let Some(shed) = &self.shed
             && now.saturating_sub(shed.at) < SHED_GROUP
         {
@@ -149,27 +149,27 @@
         }
         let limit = (self.ramp().min(self.shed_limit(now)) / 2).max(1);
         self.shed = Some(Shed { limit, at: now });
-        Some(Sight::Shed)
+        Some(Observation::Shed)
     }
 
     /// Takes what another entry saw.
-    pub fn observed(&mut self, now: Duration, sight: &Sight) {
-        match sight {
-            Sight::Refused => {
+    pub fn observed(&mut self, now: Duration, observation: &Observation) {
+        match observation {
+            Observation::Refused => {
                 self.refused(now);
             }
-            Sight::Shed => {
+            Observation::Shed => {
                 self.shed(now);
             }
-            Sight::Restarted { start } => {
+            Observation::Restarted { start } => {
                 if self.start != Some(*start) {
                     self.start = Some(*start);
                     self.turn_cold(now);
                 }
             }
-            Sight::Draining => self.draining = true,
-            Sight::Collapsed if self.phase == Phase::Warm => self.turn_cold(now),
-            Sight::Collapsed => {}
+            Observation::Draining => self.draining = true,
+            Observation::Collapsed if self.phase == Phase::Warm => self.turn_cold(now),
+            Observation::Collapsed => {}
         }
     }
 
--- a/control/tests/ownership.rs
+++ b/control/tests/ownership.rs
@@ -267,7 +267,7 @@
     let effects = entry.apply(probed(2));
     let told = Message::Observe {
         target: t1(),
-        sight: Sight::Restarted { start: 2 },
+        observation: Observation::Restarted { start: 2 },
     };
     assert!(sent(&effects).any(|(to, m)| to == node_id("e2") && *m == told));
 }
--- a/standin/examples/compare/setup.rs
+++ b/standin/examples/compare/setup.rs
@@ -69,23 +69,17 @@
         record: false,
         ..Settings::default()
     };
-    for zone in ZONES {
-        let count = args.targets / ZONES.len();
-        fleet.add_targets("lanes", zone, count, &settings).await?;
-    }
-    fleet.rollout().await?;
-    for number in 0..args.entries {
-        let options = EntryOptions {
-            policy: variant.policy.clone(),
-            decisions: false,
-            seed: args.seed + number as u64,
-            log: Some(PathBuf::from("/dev/null")),
-            ..EntryOptions::default()
-        };
-        let zone = ZONES[number % ZONES.len()];
-        fleet.add_entry(&format!("entry-{}", number + 1), zone, &options)?;
-    }
-    fleet.wait_ready(args.entries, LIMIT).await?;
+    let options = |number| EntryOptions {
+        policy: variant.policy.clone(),
+        decisions: false,
+        seed: args.seed + number as u64,
+        log: Some(PathBuf::from("/dev/null")),
+        ..EntryOptions::default()
+    };
+    let targets = (args.targets, &settings);
+    fleet
+        .populate("lanes", &ZONES, targets, (args.entries, options), LIMIT)
+        .await?;
     Ok(fleet)
 }
 
--- a/standin/examples/control_cost.rs
+++ b/standin/examples/control_cost.rs
@@ -10,6 +10,8 @@
 use lacewingmoor_standin::load::{Driver, Kind, Plan};
 use lacewingmoor_standin::target::Settings;
 
+const LIMIT: Duration = Duration::from_secs(30);
+
 const ZONES: [&str; 2] = ["oberland-a", "oberland-b"];
 
 /// Measures the cost of control for one entry, on average over the fleet.
@@ -82,22 +84,16 @@
         record: false,
         ..Settings::default()
     };
-    for zone in ZONES {
-        let count = args.targets / ZONES.len();
-        fleet.add_targets("lanes", zone, count, &settings).await?;
-    }
-    fleet.rollout().await?;
-    for number in 0..entries {
-        let options = EntryOptions {
-            decisions: false,
-            seed: number as u64,
-            log: Some(PathBuf::from("/dev/null")),
-            ..EntryOptions::default()
-        };
-        let zone = ZONES[number % ZONES.len()];
-        fleet.add_entry(&format!("entry-{}", number + 1), zone, &options)?;
-    }
-    fleet.wait_ready(entries, Duration::from_secs(30)).await?;
+    let options = |number| EntryOptions {
+        decisions: false,
+        seed: number as u64,
+        log: Some(PathBuf::from("/dev/null")),
+        ..EntryOptions::default()
+    };
+    let targets = (args.targets, &settings);
+    fleet
+        .populate("lanes", &ZONES, targets, (entries, options), LIMIT)
+        .await?;
     Ok(fleet)
 }
 
--- a/standin/src/harness/fleet.rs
+++ b/standin/src/harness/fleet.rs
@@ -186,6 +186,38 @@
         Ok(())
     }
 
+    /// Adds targets of a service, the same number in every zone, rolls out the bundle, starts
+    /// entries in the zones by turns, and waits until they are ready. `options` gets the number of
+    /// the entry, from 0.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a part does not start or the entries are not ready within `limit`.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the bundle has no such service.
+    pub async fn populate(
+        &mut self,
+        service: &str,
+        zones: &[&str],
+        targets: (usize, &Settings),
+        entries: (usize, impl Fn(usize) -> EntryOptions),
+        limit: Duration,
+    ) -> Result<(), Error> {
+        for zone in zones {
+            self.add_targets(service, zone, targets.0 / zones.len(), targets.1)
+                .await?;
+        }
+        self.rollout().await?;
+        for number in 0..entries.0 {
+            let zone = zones[number % zones.len()];
+            let name = format!("entry-{}", number + 1);
+            self.add_entry(&name, zone, &entries.1(number))?;
+        }
+        self.wait_ready(entries.0, limit).await
+    }
+
     /// Rolls out the bundle as a new version with the real command line; returns the version and
     /// what the command line printed.
     ///
