--- a/control/src/status.rs
+++ b/control/src/status.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use lacewingmoor_bundle::{NodeId, Version};
+use lacewingmoor_bundle::{NodeId, Version, hex};
 use serde::Serialize;
 
 use crate::request::{Request, Rules};
@@ -93,9 +93,7 @@
             name: self.setup.name.clone(),
             node: self.node,
             version: bundle.map_or(0, |b| b.version),
-            digest: bundle.map_or_else(String::new, |b| {
-                b.digest.iter().map(|byte| format!("{byte:02x}")).collect()
-            }),
+            digest: bundle.map_or_else(String::new, |b| hex(&b.digest)),
             fresh: self.members.fresh(now),
             ready: self.is_ready(),
             requests: self.requests.len(),
