--- a/bundle/src/check/form.rs
+++ b/bundle/src/check/form.rs
@@ -3,12 +3,10 @@
 use serde::de::DeserializeOwned;
 use serde_yaml_ng::Value;
 
-use crate::{
-    Error, Fault, RawBundle, RawLimits, RawRegion, RawRoute, RawService, RawTenant, VALUE_BYTES_MAX,
-};
+use crate::{Error, Fault, RawBundle, RawLimits, RawRoute, RawService};
 
 /// Longest document that is parsed; bounds the parser's time and memory.
-const DOCUMENT_BYTES_MAX: usize = 16 * VALUE_BYTES_MAX;
+const DOCUMENT_BYTES_MAX: usize = 16 << 20;
 
 /// Most brackets that may be open at a time. A bundle needs three; the time that the parser takes
 /// grows with the square of the depth.
@@ -89,10 +87,8 @@
         return faults;
     };
     let mut more = Vec::new();
-    items::<RawRegion>(&document, "regions", &mut more);
     items::<RawService>(&document, "services", &mut more);
     items::<RawRoute>(&document, "routes", &mut more);
-    items::<RawTenant>(&document, "tenants", &mut more);
     if let Some(limits) = document.get("limits") {
         item::<RawLimits>(limits, "limits".into(), &mut more);
     }
--- a/bundle/src/diff.rs
+++ b/bundle/src/diff.rs
@@ -30,7 +30,7 @@
     }
 }
 
-/// Lists what differs between two bundles; empty if and only if their manifests are equal.
+/// Lists what differs between two bundles.
 ///
 /// # Panics
 ///
@@ -41,12 +41,8 @@
     changes
 }
 
-/// Encodes a bundle with its routes grouped by service, because parts keep no order among routes
-/// of different services.
 fn tree(bundle: &RawBundle) -> Value {
-    let mut bundle = bundle.clone();
-    bundle.routes.sort_by(|a, b| a.service.cmp(&b.service));
-    serde_json::to_value(&bundle).expect("structs without maps always encode as JSON")
+    serde_json::to_value(bundle).expect("structs without maps always encode as JSON")
 }
 
 fn walk(path: &str, old: &Value, new: &Value, changes: &mut Vec<Change>) {
--- a/bundle/src/error.rs
+++ b/bundle/src/error.rs
@@ -1,4 +1,4 @@
-//! Errors of reading, checking, signing and assembling bundles.
+//! Errors of reading and checking bundles.
 
 use std::fmt;
 
@@ -9,7 +9,8 @@
 #[value]
 #[derive(Eq)]
 pub struct Fault {
-    /// Where in the document, such as `services[2].targets[0].addr`; empty for the whole document.
+    /// Where in the document, such as `routes[2].destinations[0].service`; empty for the whole
+    /// document.
     pub path: String,
     /// What is wrong and what to do about it.
     pub message: String,
@@ -38,42 +39,12 @@
 }
 
 quick_error! {
-    /// Why a bundle, manifest, part or key was not accepted.
+    /// Why a bundle was not accepted.
     #[derive(Clone, Debug, PartialEq, Eq)]
     pub enum Error {
         /// The document is not a valid bundle; all faults found.
         Invalid(faults: Vec<Fault>) {
             display("{}", lines(faults))
         }
-        /// A manifest cannot be decoded.
-        Manifest(why: String) {
-            display("manifest: {why}")
-        }
-        /// No operator key has the id that the manifest was signed with.
-        UnknownKey(key_id: String) {
-            display("manifest signature: key {key_id} is not an operator key; sign with a key \
-                     whose public half is in operator_keys")
-        }
-        /// The signature does not fit manifest and key.
-        BadSignature(key_id: String) {
-            display("manifest signature: not made by key {key_id}, or the manifest was changed \
-                     after signing; sign the bundle again")
-        }
-        /// A key cannot be read.
-        Key(why: String) {
-            display("key: {why}")
-        }
-        /// A part named by the manifest is not there.
-        PartMissing(name: String) {
-            display("part {name}: missing")
-        }
-        /// The bytes of a part do not have the digest that the manifest names.
-        PartDigest(expected: String, found: String) {
-            display("part {expected}: its content has digest {found}")
-        }
-        /// A part has the right digest but cannot be decoded.
-        PartContent(name: String, why: String) {
-            display("part {name}: {why}")
-        }
     }
 }
--- /dev/null
+++ b/control/src/book.rs
@@ -0,0 +1,100 @@
+//! What this entry has seen of each target itself.
+
+use std::time::Duration;
+
+use lacewingmoor_derive::value;
+
+use crate::Now;
+use crate::budget::ColdGate;
+
+/// Time for which a target is left alone after its first failure; doubles with each further one.
+const AVOID_MIN: Duration = Duration::from_millis(250);
+
+/// Longest time for which a failing target is left alone.
+const AVOID_MAX: Duration = Duration::from_secs(4);
+
+/// Weight of the newest answer in the error rate.
+const ERROR_GAIN: f64 = 0.2;
+
+/// Time in which an observed error rate halves without new answers.
+const ERROR_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// Load that a target reports.
+#[value]
+#[derive(Copy)]
+pub struct Load {
+    /// Requests running.
+    pub running: u32,
+    /// Requests waiting.
+    pub waiting: u32,
+    /// Requests that it runs at a time.
+    pub slots: u32,
+    /// How long work takes at this moment; 1 is usual.
+    pub pace: f64,
+}
+
+/// Own observations of one target.
+#[derive(Clone, Debug, Default)]
+pub struct Book {
+    /// Requests of this entry in flight.
+    pub in_flight: u32,
+    /// Last load report and when it came.
+    pub load: Option<(Load, Now)>,
+    /// Until when the target is cold.
+    pub cold_until: Now,
+    /// Rate limit while it is cold.
+    pub cold_gate: ColdGate,
+    failures: u32,
+    avoid_until: Now,
+    error_rate: f64,
+    error_at: Now,
+}
+
+impl Book {
+    /// Notes a load report.
+    pub fn reported(&mut self, now: Now, load: Load) {
+        self.load = Some((load, now));
+    }
+
+    /// Notes how much longer the target is cold; zero ends it.
+    pub fn warmup(&mut self, now: Now, left: Duration) {
+        self.cold_until = now + left;
+    }
+
+    /// Returns true while the target is cold.
+    pub fn is_cold(&self, now: Now) -> bool {
+        now < self.cold_until
+    }
+
+    /// Notes that the target answered a health check.
+    pub fn reached(&mut self) {
+        self.failures = 0;
+        self.avoid_until = Now::ZERO;
+    }
+
+    /// Notes that the target could not be reached or is not healthy.
+    pub fn failed(&mut self, now: Now) {
+        let wait = AVOID_MIN * 2u32.saturating_pow(self.failures.min(8));
+        self.failures += 1;
+        self.avoid_until = now + wait.min(AVOID_MAX);
+    }
+
+    /// Notes the end of a request: whether the target gave a good answer.
+    pub fn answered(&mut self, now: Now, good: bool) {
+        let rate = self.error_rate(now);
+        let sample = if good { 0.0 } else { 1.0 };
+        self.error_rate = rate + (sample - rate) * ERROR_GAIN;
+        self.error_at = now;
+    }
+
+    /// Returns the share of requests that recently went wrong, fading with time.
+    pub fn error_rate(&self, now: Now) -> f64 {
+        let age = now.saturating_sub(self.error_at).as_secs_f64();
+        self.error_rate * 0.5_f64.powf(age / ERROR_HALF_LIFE.as_secs_f64())
+    }
+
+    /// Returns true while the target is left alone.
+    pub fn is_avoided(&self, now: Now) -> bool {
+        now < self.avoid_until
+    }
+}
--- a/control/src/budget.rs
+++ b/control/src/budget.rs
@@ -1,73 +1,105 @@
-//! Token budgets for retries, hedges and traffic between regions.
+//! Budgets that all entries share without talking: each entry uses its part.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-/// Tokens that a service may hold unused, so that a quiet time does not pay for a retry storm.
-const TOKENS_MAX: f64 = 20.0;
+use lacewingmoor_derive::value;
 
-/// Tokens of a service at start, so that the first requests may be retried as well.
-const TOKENS_INITIAL: f64 = 3.0;
+use crate::Now;
 
-/// Budget that is earned by requests and spent by extra attempts.
-#[derive(Clone, Debug)]
-pub(crate) struct Tokens(f64);
+/// Share of the fleet's budget that entries use together. The rest covers entries that do not
+/// know of each other yet.
+const USED_SHARE: f64 = 0.8;
 
-impl Default for Tokens {
-    fn default() -> Self {
-        Self(TOKENS_INITIAL)
-    }
+/// Part of a window after which counts are dropped.
+const BUCKETS: u32 = 10;
+
+/// Limits of repeated sends.
+#[value]
+pub struct RetryLimits {
+    /// Repeats allowed for each first send.
+    pub ratio: f64,
+    /// Repeats allowed on top, for all entries together.
+    pub extra: f64,
+    /// Length of the sliding window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    started_at: Now,
+    requests: u32,
+    repeats: u32,
+}
+
+/// Counts first sends and repeats of one service in a sliding window.
+#[derive(Clone, Debug, Default)]
+pub struct RetryBudget {
+    buckets: VecDeque<Bucket>,
 }
 
-impl Tokens {
-    /// Earns the share of one request.
-    pub fn earn(&mut self, percent: u32) {
-        self.0 = (self.0 + f64::from(percent) / 100.0).min(TOKENS_MAX);
+impl RetryBudget {
+    /// Counts a request.
+    pub fn request(&mut self, now: Now, limits: &RetryLimits) {
+        self.bucket(now, limits).requests += 1;
     }
 
-    /// Spends one token if there is one.
-    pub fn spend(&mut self) -> bool {
-        let enough = self.0 >= 1.0;
-        if enough {
-            self.0 -= 1.0;
+    /// Takes one repeat if this entry's part of the budget allows it.
+    pub fn repeat(&mut self, now: Now, limits: &RetryLimits, node_count: usize) -> bool {
+        let extra = limits.extra * USED_SHARE / node_count as f64;
+        self.bucket(now, limits);
+        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
+        let repeats: u32 = self.buckets.iter().map(|b| b.repeats).sum();
+        let allowed = limits.ratio * USED_SHARE * f64::from(requests) + extra;
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
         }
-        enough
+        self.bucket(now, limits).repeats += 1;
+        true
     }
 
-    /// True if a token could be spent.
-    pub fn any(&self) -> bool {
-        self.0 >= 1.0
+    fn bucket(&mut self, now: Now, limits: &RetryLimits) -> &mut Bucket {
+        let width = limits.window / BUCKETS;
+        while self
+            .buckets
+            .front()
+            .is_some_and(|b| b.started_at + limits.window + width < now)
+        {
+            self.buckets.pop_front();
+        }
+        let fresh = self.buckets.back().is_some_and(|b| b.started_at + width > now);
+        if !fresh {
+            self.buckets.push_back(Bucket {
+                started_at: now,
+                requests: 0,
+                repeats: 0,
+            });
+        }
+        self.buckets.back_mut().expect("a bucket was just pushed")
     }
 }
 
-/// Budget that is earned by time: starts empty and holds at most one burst.
-#[derive(Clone, Debug)]
-pub(crate) struct Rate {
-    level: f64,
-    at: Duration,
+/// Limits the rate of requests to one cold target.
+///
+/// Load pattern: a target that turns cold under load collapses well above its warm-up rate, which
+/// counts over all entries. Only entries of the target's zone send to it, each an equal part.
+#[derive(Clone, Debug, Default)]
+pub struct ColdGate {
+    next_at: Now,
 }
 
-impl Rate {
-    /// Creates an empty budget.
-    pub fn empty(now: Duration) -> Self {
-        Self {
-            level: 0.0,
-            at: now,
-        }
-    }
-
-    /// Spends `cost` if the budget, earned at `per_second` up to `burst`, allows it.
-    pub fn spend(&mut self, now: Duration, per_second: f64, burst: f64, cost: f64) -> bool {
-        self.fill(now, per_second, burst);
-        let enough = self.level >= cost;
-        if enough {
-            self.level -= cost;
+impl ColdGate {
+    /// Takes one send at `rate_per_s` requests a second.
+    pub fn take(&mut self, now: Now, rate_per_s: f64) -> bool {
+        if !self.open(now, rate_per_s) {
+            return false;
         }
-        enough
+        self.next_at = now + Duration::from_secs_f64(1.0 / rate_per_s);
+        true
     }
 
-    fn fill(&mut self, now: Duration, per_second: f64, burst: f64) {
-        let earned = now.saturating_sub(self.at).as_secs_f64() * per_second;
-        self.level = (self.level + earned).min(burst);
-        self.at = now;
+    /// Returns true if a send could be taken.
+    pub fn open(&self, now: Now, rate_per_s: f64) -> bool {
+        rate_per_s > 0.0 && now >= self.next_at
     }
 }
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -1,38 +1,19 @@
-//! The reducer that takes every routing and placement decision.
+//! Routing, placement, limits, membership and recovery decisions.
 //!
-//! [`State::apply`] maps an event and the current time to effects. It does no I/O, reads no clock
-//! and draws randomness only from the seed it was built with, so that the same code runs in the
-//! entry process and in randomised tests.
+//! Nothing here does I/O or reads a clock: every function takes the time since the start of the
+//! process, and randomness comes from a seeded generator that the caller owns.
 
-mod answer;
-mod budget;
-mod credit;
-mod demand;
-mod effect;
-mod event;
-mod exchange;
-mod fleet;
-mod flow;
-mod invariant;
-mod latency;
-mod log;
-mod membership;
-mod message;
-mod owner;
-mod probe;
-mod queue;
-mod reload;
-mod request;
-mod select;
-mod setup;
-mod state;
-mod status;
-mod target;
+pub mod admit;
+pub mod attempt;
+pub mod book;
+pub mod budget;
+pub mod facts;
+pub mod place;
+pub mod split;
+pub mod stop;
+pub mod view;
 
-pub use effect::*;
-pub use event::*;
-pub use membership::*;
-pub use message::*;
-pub use setup::*;
-pub use state::*;
-pub use status::*;
+pub use lacewingmoor_bundle::{Map, Set};
+
+/// Time since the start of the process.
+pub type Now = std::time::Duration;
--- /dev/null
+++ b/control/src/place.rs
@@ -0,0 +1,192 @@
+//! Choice of the target of a request.
+//!
+//! Load pattern: targets that turn several times slower for a few hundred milliseconds, so that
+//! every report is older than the state it tells of. A few targets are asked for their load right
+//! before the send, and the one that promises the earliest answer gets the request.
+
+use std::time::Duration;
+
+use lacewingmoor_bundle::Route;
+use lacewingmoor_derive::value;
+use rand::Rng;
+use rand::seq::SliceRandom as _;
+
+use crate::book::{Book, Load};
+use crate::facts::{RegionName, TargetId, ZoneName};
+use crate::view::{Known, View};
+use crate::{Map, Now};
+
+/// Part of a target's slots up to which it works at full speed.
+const FULL_SPEED_SHARE: f64 = 0.8;
+
+/// How much longer work takes on a target that is nearly full.
+const CROWDED_FACTOR: f64 = 1.7;
+
+/// Part of the fleet-wide rate of a cold target that entries use. The rest covers entries whose
+/// view of their zone differs.
+const COLD_RATE_SHARE: f64 = 1.2;
+
+/// Expected time lost per failed answer, in units of the work time.
+const FAILURE_COST: f64 = 4.0;
+
+/// Where this entry stands.
+#[value]
+pub struct Place {
+    /// Availability zone.
+    pub zone: ZoneName,
+    /// Region.
+    pub region: RegionName,
+}
+
+/// Which targets are asked.
+#[value]
+#[derive(Copy, Eq)]
+pub enum Reach {
+    /// Those of the entry's own region, or of all regions if it has none.
+    Region,
+    /// Those of every region.
+    Anywhere,
+}
+
+/// A request that looks for a target.
+pub struct Query<'a> {
+    /// Service that is to answer.
+    pub service: &'a str,
+    /// Route of the request.
+    pub route: &'a Route,
+    /// Requests a second that a cold target of the service bears.
+    pub warmup_rate: f64,
+    /// Targets that are left out.
+    pub tried: &'a [TargetId],
+    /// Where the entry stands.
+    pub here: &'a Place,
+}
+
+impl Query<'_> {
+    /// Returns up to `count` targets to ask, in random order. Targets that failed lately are asked
+    /// only if there are no others.
+    pub fn candidates(
+        &self,
+        now: Now,
+        view: &View,
+        books: &Map<TargetId, Book>,
+        reach: Reach,
+        count: usize,
+        rng: &mut impl Rng,
+    ) -> Vec<TargetId> {
+        let mut sound = Vec::new();
+        let mut avoided = Vec::new();
+        for id in view.service(self.service) {
+            let Some(known) = view.target(id) else {
+                continue;
+            };
+            let book = books.get(id);
+            if !self.may_use(now, view, known, book) {
+                continue;
+            }
+            match book {
+                Some(book) if book.is_avoided(now) => avoided.push(known),
+                _ => sound.push(known),
+            }
+        }
+        let mut pool = if sound.is_empty() { avoided } else { sound };
+        if reach == Reach::Region && pool.iter().any(|k| k.target.region == self.here.region) {
+            pool.retain(|k| k.target.region == self.here.region);
+        }
+        let (picked, _) = pool.partial_shuffle(rng, count);
+        picked.iter().map(|k| k.target.id.clone()).collect()
+    }
+
+    /// Returns true if the rules allow a send to the target now.
+    pub fn may_use(&self, now: Now, view: &View, known: &Known, book: Option<&Book>) -> bool {
+        let target = &known.target;
+        if target.draining
+            || view.is_out(&target.zone)
+            || !self.route.allows(&target.region)
+            || self.tried.contains(&target.id)
+        {
+            return false;
+        }
+        match book {
+            Some(book) if book.is_cold(now) => {
+                target.zone == self.here.zone
+                    && book.cold_gate.open(now, self.cold_rate(view))
+            }
+            _ => true,
+        }
+    }
+
+    /// Returns this entry's part of the rate at which a cold target of its zone is used.
+    pub fn cold_rate(&self, view: &View) -> f64 {
+        self.warmup_rate * COLD_RATE_SHARE / view.nodes_in_zone(&self.here.zone) as f64
+    }
+}
+
+/// What a target that was asked promises.
+#[value]
+pub struct Offer {
+    /// Load that it reported.
+    pub load: Load,
+    /// Expected time until its answer.
+    pub expected: Duration,
+    /// True if it starts the request at once and works at full speed.
+    pub free: bool,
+    /// True if it is cold.
+    pub cold: bool,
+}
+
+/// Rates a target that reported `load` after `round_trip`. `work` is the usual time that a request
+/// of the service takes.
+pub fn offer(
+    load: Load,
+    round_trip: Duration,
+    work: Duration,
+    error_rate: f64,
+    cold: bool,
+) -> Offer {
+    let slots = f64::from(load.slots.max(1));
+    let ahead = f64::from(load.running + load.waiting);
+    let crowded = (ahead + 1.0) / slots > FULL_SPEED_SHARE;
+    let speed = load.pace * if crowded { CROWDED_FACTOR } else { 1.0 };
+    let queued = (ahead + 1.0 - slots).max(0.0) / slots;
+    let failures = error_rate * FAILURE_COST;
+    let expected = work.mul_f64((speed * (1.0 + queued) + failures).min(1000.0)) + round_trip;
+    Offer {
+        load,
+        expected,
+        free: !crowded && load.pace < 1.5 && error_rate < 0.1 && !cold,
+        cold,
+    }
+}
+
+/// Running estimate of the usual time that a request of a service takes on an idle target.
+#[derive(Clone, Debug)]
+pub struct WorkTime {
+    mean_s: f64,
+}
+
+impl WorkTime {
+    /// Weight of the newest answer.
+    const GAIN: f64 = 0.05;
+
+    /// Share of the objective that is assumed before the first answer.
+    const INITIAL_SHARE: f64 = 0.4;
+
+    /// Starts from the latency objective.
+    pub fn new(objective: Duration) -> Self {
+        Self {
+            mean_s: objective.as_secs_f64() * Self::INITIAL_SHARE,
+        }
+    }
+
+    /// Returns the estimate.
+    pub fn get(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_s)
+    }
+
+    /// Learns from an answer that took `took` where `expected` was expected.
+    pub fn learn(&mut self, took: Duration, expected: Duration) {
+        let ratio = took.as_secs_f64() / expected.as_secs_f64().max(0.001);
+        self.mean_s += self.mean_s * (ratio.clamp(0.2, 3.0) - 1.0) * Self::GAIN;
+    }
+}
--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -1,209 +1,186 @@
-//! Answers to callers: bodies of targets passed on, and answers made by the entry itself.
+//! Answers to callers: those of targets, passed on, and the entry's own.
 
 use std::pin::Pin;
-use std::sync::Arc;
-use std::task::{Context, Poll};
+use std::rc::Rc;
+use std::task::{Context, Poll, ready};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::header::{CONTENT_TYPE, HeaderValue, RETRY_AFTER};
-use http::{HeaderMap, StatusCode};
+use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
+use http::{Response, StatusCode};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use lacewingmoor_control::{Attempt, Event, Fate, Outcome, Reason, Refusal, RequestId};
-use salvo::http::ResBody;
-
-use crate::caller::Shared;
-use crate::head::{OUTCOME, REASON, REQUEST};
-use crate::target::Conn;
-
-/// Status, header fields and body for the caller.
-pub struct Answer {
-    /// Status.
-    pub status: StatusCode,
-    /// Header fields.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: ResBody,
-}
-
-/// Body of a target's answer on its way to the caller.
-///
-/// An error of the target's connection is passed on as an error, so that the server breaks the
-/// caller's connection instead of ending a short answer well-formed.
-pub struct TargetBody {
-    incoming: Incoming,
-    conn: Option<Conn>,
-    exchange: Exchange,
+use slog::warn;
+
+use crate::connection::Connection;
+use crate::node::Node;
+
+/// Shortest time that a refused caller is asked to wait.
+const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
+
+/// Fields that concern one connection only (RFC 9110, section 7.6.1).
+static HOP_BY_HOP: [HeaderName; 9] = [
+    CONNECTION,
+    HeaderName::from_static("keep-alive"),
+    HeaderName::from_static("proxy-connection"),
+    http::header::PROXY_AUTHENTICATE,
+    http::header::PROXY_AUTHORIZATION,
+    http::header::TE,
+    http::header::TRAILER,
+    http::header::TRANSFER_ENCODING,
+    http::header::UPGRADE,
+];
+
+/// Removes the fields that concern one connection only, including those named by `connection`.
+pub fn remove_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name| *name != http::header::CONTENT_LENGTH && *name != http::header::HOST)
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
 }
 
-/// Reports the end of an answer that is passed on.
-pub struct Exchange {
-    /// State shared by all requests.
-    pub shared: Arc<Shared>,
-    /// The request.
-    pub request: RequestId,
-    /// The attempt whose answer is passed on.
-    pub attempt: Attempt,
+/// Body of an answer.
+pub enum AnswerBody {
+    /// Bytes that are there.
+    Whole(Option<Bytes>),
+    /// Bytes that are there, followed by the rest from the target.
+    Streamed(Streamed),
 }
 
-impl Exchange {
-    fn end(&self, outcome: Outcome) {
-        let metrics = &self.shared.metrics;
-        match outcome {
-            Outcome::Complete => metrics.complete.increment(1),
-            Outcome::Cut => metrics.cut.increment(1),
-            _ => metrics.caller_gone.increment(1),
-        }
-        metrics.in_flight.decrement(1.0);
-        let control = &self.shared.control;
-        control.send(Event::Ended {
-            request: self.request,
-            attempt: self.attempt,
-            outcome,
-        });
-        if outcome == Outcome::Cancelled {
-            control.send(Event::CallerGone {
-                request: self.request,
-            });
-        }
-        control.finish(self.request);
-    }
+/// An answer that is passed on while it arrives.
+pub struct Streamed {
+    read: Option<Bytes>,
+    rest: Incoming,
+    connection: Option<Connection>,
+    node: Rc<Node>,
 }
 
-impl TargetBody {
-    /// Passes on `incoming`, which is read from `conn`.
-    pub fn new(incoming: Incoming, conn: Conn, exchange: Exchange) -> Self {
-        let mut body = Self {
-            incoming,
-            conn: Some(conn),
-            exchange,
-        };
-        if body.incoming.is_end_stream() {
-            body.complete();
-        }
-        body
-    }
-
-    fn complete(&mut self) {
-        if let Some(conn) = self.conn.take() {
-            self.exchange.shared.pool.put_back(conn);
-            self.exchange.end(Outcome::Complete);
-        }
+impl AnswerBody {
+    /// Passes on what was read and what still comes over `connection`.
+    pub fn streamed(
+        node: Rc<Node>,
+        read: Bytes,
+        rest: Incoming,
+        connection: Connection,
+    ) -> Self {
+        Self::Streamed(Streamed {
+            read: Some(read),
+            rest,
+            connection: Some(connection),
+            node,
+        })
     }
 }
 
-impl Body for TargetBody {
+impl Body for AnswerBody {
     type Data = Bytes;
-    type Error = salvo::BoxedError;
+    type Error = hyper::Error;
 
     fn poll_frame(
-        mut self: Pin<&mut Self>,
+        self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, salvo::BoxedError>>> {
-        loop {
-            let Poll::Ready(frame) = Pin::new(&mut self.incoming).poll_frame(cx) else {
-                return Poll::Pending;
-            };
-            return Poll::Ready(match frame {
-                Some(Ok(frame)) if frame.is_data() => {
-                    // The server does not poll again after the last byte of a known length.
-                    if self.incoming.is_end_stream() {
-                        self.complete();
-                    }
-                    Some(Ok(frame))
-                }
-                // Trailers concern the target's connection only.
-                Some(Ok(_)) => continue,
-                Some(Err(error)) => {
-                    if self.conn.take().is_some() {
-                        self.exchange.end(Outcome::Cut);
-                    }
-                    Some(Err(error.into()))
-                }
-                None => {
-                    self.complete();
-                    None
-                }
-            });
+    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
+            Self::Streamed(streamed) => streamed.poll(cx),
         }
     }
 
     fn is_end_stream(&self) -> bool {
-        self.incoming.is_end_stream()
+        match self {
+            Self::Whole(bytes) => bytes.is_none(),
+            Self::Streamed(streamed) => streamed.read.is_none() && streamed.rest.is_end_stream(),
+        }
     }
 
     fn size_hint(&self) -> SizeHint {
-        self.incoming.size_hint()
+        match self {
+            Self::Whole(bytes) => {
+                SizeHint::with_exact(bytes.as_ref().map_or(0, |b| b.len() as u64))
+            }
+            Self::Streamed(_) => SizeHint::default(),
+        }
     }
 }
 
-impl Drop for TargetBody {
-    fn drop(&mut self) {
-        if self.conn.take().is_some() {
-            self.exchange.end(Outcome::Cancelled);
+impl Streamed {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+        if let Some(read) = self.read.take() {
+            return Poll::Ready(Some(Ok(Frame::data(read))));
         }
+        let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+        match &frame {
+            None => {
+                if let Some(connection) = self.connection.take() {
+                    self.node.pool.put(connection);
+                }
+            }
+            Some(Err(error)) => {
+                // The caller's connection breaks off, so that the answer does not look complete.
+                warn!(self.node.log, "answer_cut"; "cause" => %error);
+                crate::metrics::request_ended("cut");
+            }
+            Some(Ok(_)) => {}
+        }
+        Poll::Ready(frame)
     }
 }
 
-/// Returns the name of a fate as callers see it.
-pub fn fate_name(fate: Fate) -> &'static str {
-    match fate {
-        Fate::NotRun => "not-run",
-        Fate::Unknown => "unknown",
-    }
+/// An answer that the entry makes itself.
+#[derive(Clone, Copy, Debug)]
+pub struct Own {
+    /// Status.
+    pub status: StatusCode,
+    /// Why, for the log and the body.
+    pub reason: &'static str,
+    /// When the caller may come back.
+    pub retry_after: Option<Duration>,
 }
 
-/// Returns the status and the name of a reason as callers see it.
-pub fn reason_name(reason: Reason) -> (StatusCode, &'static str) {
-    match reason {
-        Reason::NoBundle => (StatusCode::SERVICE_UNAVAILABLE, "no-bundle"),
-        Reason::NoRoute => (StatusCode::NOT_FOUND, "no-route"),
-        Reason::UnknownTenant => (StatusCode::FORBIDDEN, "unknown-tenant"),
-        Reason::WrongRegion => (StatusCode::MISDIRECTED_REQUEST, "wrong-region"),
-        Reason::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
-        Reason::QueueFull => (StatusCode::SERVICE_UNAVAILABLE, "queue-full"),
-        Reason::Deadline => (StatusCode::SERVICE_UNAVAILABLE, "deadline"),
-        Reason::NoTarget => (StatusCode::SERVICE_UNAVAILABLE, "no-target"),
-        Reason::Isolated => (StatusCode::SERVICE_UNAVAILABLE, "isolated"),
-        Reason::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "stopping"),
-        Reason::ConnectFailed => (StatusCode::BAD_GATEWAY, "connect-failed"),
-        Reason::Shed => (StatusCode::SERVICE_UNAVAILABLE, "shed"),
-        Reason::Broken => (StatusCode::BAD_GATEWAY, "broken"),
-        Reason::Timeout => (StatusCode::GATEWAY_TIMEOUT, "timeout"),
+impl Own {
+    /// The request has not run and will not; the caller may come back after `retry_after`.
+    pub fn not_run(reason: &'static str, retry_after: Duration) -> Self {
+        Self {
+            status: StatusCode::SERVICE_UNAVAILABLE,
+            reason,
+            retry_after: Some(retry_after.max(RETRY_AFTER_MIN)),
+        }
     }
-}
 
-/// Makes the answer to a refused request.
-pub fn refusal(refusal: &Refusal) -> Answer {
-    let (status, reason) = reason_name(refusal.reason);
-    let retry_after = (status == StatusCode::SERVICE_UNAVAILABLE)
-        .then_some(refusal.retry_after.unwrap_or_default());
-    own(status, refusal.fate, reason, refusal.request, retry_after)
-}
+    /// It is not known whether the request has run.
+    pub fn unknown(status: StatusCode, reason: &'static str) -> Self {
+        Self {
+            status,
+            reason,
+            retry_after: None,
+        }
+    }
 
-/// Makes an answer of the entry itself.
-pub fn own(
-    status: StatusCode,
-    fate: Fate,
-    reason: &'static str,
-    request: RequestId,
-    retry_after: Option<Duration>,
-) -> Answer {
-    let outcome = fate_name(fate);
-    crate::metrics::own_answer(outcome, reason);
-    let mut headers = HeaderMap::with_capacity(6);
-    headers.insert(OUTCOME, HeaderValue::from_static(outcome));
-    headers.insert(REASON, HeaderValue::from_static(reason));
-    headers.insert(REQUEST, HeaderValue::from(request));
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("text/plain"));
-    if let Some(after) = retry_after {
-        // The field has a resolution of one second, and zero would invite a busy loop.
-        let seconds = after.as_millis().div_ceil(1000).max(1);
-        headers.insert(RETRY_AFTER, HeaderValue::from(seconds as u64));
+    /// The request is not acceptable.
+    pub fn invalid(status: StatusCode, reason: &'static str) -> Self {
+        Self::unknown(status, reason)
     }
-    Answer {
-        status,
-        headers,
-        body: ResBody::Once(Bytes::from(format!("{outcome}: {reason}\n"))),
+
+    /// Builds the answer.
+    pub fn response(self) -> Response<AnswerBody> {
+        let body = Bytes::from_static(self.reason.as_bytes());
+        let mut response = Response::new(AnswerBody::Whole(Some(body)));
+        *response.status_mut() = self.status;
+        if let Some(after) = self.retry_after {
+            let seconds = format!("{:.3}", after.as_secs_f64());
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                response.headers_mut().insert(RETRY_AFTER, value);
+            }
+        }
+        response
     }
 }
--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -1,148 +1,130 @@
-//! The caller side: takes requests from salvo and writes answers.
+//! Connections of callers.
 
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::Duration;
 
-use http::StatusCode;
-use hyper::body::Body as _;
-use lacewingmoor_control::{Arrival, Fate, RequestId};
-use salvo::{Depot, FlowCtrl, Handler, Request, Response, async_trait};
-use slog::{Logger, debug};
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use lacewingmoor_control::Now;
+use lacewingmoor_control::stop::Phase;
+use slog::{debug, warn};
+use tokio::net::{TcpListener, TcpStream};
 
-use crate::acceptor::Connections;
-use crate::answer::{Answer, own};
-use crate::body::RequestBody;
-use crate::control::Control;
-use crate::head;
-use crate::metrics::Traffic;
-use crate::request::{self, Outgoing};
-use crate::target::Pool;
+use crate::node::Node;
+use crate::request;
 
-/// State shared by all requests.
-pub struct Shared {
-    /// Control thread.
-    pub control: Control,
-    /// Connections of callers.
-    pub connections: Arc<Connections>,
-    /// Connections to targets.
-    pub pool: Arc<Pool>,
-    /// Metrics of the data path.
-    pub metrics: Traffic,
-    /// Log.
-    pub log: Logger,
-    /// True once the listeners are closed; requests on open connections are then refused.
-    pub stopping: AtomicBool,
-    next_request: AtomicU64,
-}
+/// Idle timeout before the first bundle is there.
+const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
 
-impl Shared {
-    /// Creates the state of a process that has served no request yet.
-    pub fn new(control: Control, log: Logger) -> Arc<Self> {
-        let metrics = Traffic::new();
-        Arc::new(Self {
-            control,
-            connections: Arc::default(),
-            pool: Arc::new(Pool::new(metrics.connects.clone())),
-            metrics,
-            log,
-            stopping: AtomicBool::new(false),
-            next_request: AtomicU64::new(1),
-        })
-    }
+/// Size of the head that is read before the first bundle is there.
+const HEAD_BYTES_DEFAULT: usize = 16 * 1024;
 
-    async fn answer(self: &Arc<Self>, req: &mut Request) -> Answer {
-        let id = self.next_request.fetch_add(1, Ordering::Relaxed);
-        self.metrics.requests.increment(1);
-        if self.stopping.load(Ordering::Relaxed) {
-            let after = Some(std::time::Duration::ZERO);
-            let status = StatusCode::SERVICE_UNAVAILABLE;
-            return own(status, Fate::NotRun, "stopping", id, after);
-        }
-        match self.read_head(id, req) {
-            Err(fault) => {
-                debug!(self.log, "bad_request"; "request" => id, "fault" => fault);
-                own(
-                    StatusCode::BAD_REQUEST,
-                    Fate::NotRun,
-                    "bad-request",
-                    id,
-                    None,
-                )
+/// Pause after a connection could not be accepted, such as for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Interval at which the end of accepting is checked while the process leaves.
+const PHASE_CHECK: Duration = Duration::from_millis(100);
+
+/// Accepts connections until the stop has reached its finishing phase.
+pub async fn accept(node: Rc<Node>, listener: TcpListener) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = tokio::time::sleep(PHASE_CHECK), if node.phase() != Phase::Running => {
+                if node.phase() >= Phase::Finishing {
+                    return;
+                }
+                continue;
             }
-            Ok((arrival, outgoing)) => {
-                self.metrics.in_flight.increment(1.0);
-                request::run(self, arrival, outgoing).await
+            () = left(&node), if node.phase() == Phase::Running => continue,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(serve(node.clone(), stream));
+            }
+            Err(error) => {
+                warn!(node.log, "accept_failed"; "cause" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
             }
         }
     }
+}
 
-    fn read_head(
-        &self,
-        id: RequestId,
-        req: &mut Request,
-    ) -> Result<(Arrival, Outgoing), head::Fault> {
-        let caller = req.remote_addr().clone().into_std();
-        if self.connections.conflicting(caller) {
-            return Err("conflicting lengths");
-        }
-        let bundle = self.control.bundle();
-        let limits = bundle.as_ref().map(|b| &b.limits);
-        let tenant_header = limits.map(|l| l.tenant_header.as_str());
-        let (method, uri) = (req.method().clone(), req.uri().clone());
-        if limits.is_some_and(|l| head::size(&method, &uri, req.headers()) > l.head_bytes_max) {
-            return Err("head too large");
+/// Waits until the process is to stop.
+async fn left(node: &Node) {
+    let mut leaving = node.leaving();
+    // The sender lives as long as the node.
+    let _ = leaving.wait_for(|leaving| *leaving).await;
+}
+
+/// When a connection last became idle; `None` while a request is served.
+struct Idle(Cell<Option<Now>>);
+
+/// Serves the requests of one connection until either side closes it.
+async fn serve(node: Rc<Node>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        debug!(node.log, "caller_lost"; "cause" => %error);
+        return;
+    }
+    let head_bytes_max = node
+        .bundle()
+        .map_or(HEAD_BYTES_DEFAULT, |bundle| bundle.limits.head_bytes_max);
+    let idle = Rc::new(Idle(Cell::new(Some(node.now()))));
+    let service = {
+        let node = node.clone();
+        let idle = idle.clone();
+        service_fn(move |request| {
+            let node = node.clone();
+            let idle = idle.clone();
+            idle.0.set(None);
+            async move {
+                let response = request::serve(node.clone(), request).await;
+                idle.0.set(Some(node.now()));
+                response
+            }
+        })
+    };
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(None)
+        // hyper takes no less than 8 KiB.
+        .max_buf_size(head_bytes_max.max(8 * 1024))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut closing = false;
+    let left = left(&node);
+    tokio::pin!(left);
+    loop {
+        tokio::select! {
+            result = connection.as_mut() => {
+                if let Err(error) = result {
+                    debug!(node.log, "caller_lost"; "cause" => %error);
+                }
+                return;
+            }
+            () = &mut left, if !closing => {
+                closing = true;
+                connection.as_mut().graceful_shutdown();
+            }
+            () = tokio::time::sleep(idle_left(&node, &idle)), if !closing => {
+                if idle_left(&node, &idle).is_zero() {
+                    closing = true;
+                    connection.as_mut().graceful_shutdown();
+                }
+            }
         }
-        let source = req.take_body();
-        let no_body = source.is_end_stream();
-        let checked = head::check(
-            &method,
-            &uri,
-            req.version(),
-            req.headers(),
-            no_body,
-            tenant_header,
-        )?;
-        let tenant = match tenant_header.and_then(|name| req.headers().get(name)) {
-            None => None,
-            Some(value) => Some(value.to_str().map_err(|_| "malformed tenant")?.to_owned()),
-        };
-        let arrival = Arrival {
-            request: id,
-            method: method.as_str().to_owned(),
-            path: uri.path().to_owned(),
-            tenant,
-            body_bytes: checked.body_bytes,
-            deadline: checked.deadline,
-            replayable: RequestBody::replayable(checked.body_bytes),
-        };
-        let mut headers = std::mem::take(req.headers_mut());
-        head::forward(&mut headers, &uri, caller.map(|a| a.ip()));
-        let target = uri.path_and_query().cloned();
-        let outgoing = Outgoing {
-            method,
-            uri: target.map_or_else(|| http::Uri::from_static("/"), Into::into),
-            headers,
-            body: RequestBody::new(source, checked.body_bytes),
-        };
-        Ok((arrival, outgoing))
     }
 }
 
-/// Handles every request of callers.
-pub struct Caller(pub Arc<Shared>);
-
-#[async_trait]
-impl Handler for Caller {
-    async fn handle(
-        &self,
-        req: &mut Request,
-        _depot: &mut Depot,
-        res: &mut Response,
-        _ctrl: &mut FlowCtrl,
-    ) {
-        let answer = self.0.answer(req).await;
-        res.status_code = Some(answer.status);
-        res.headers = answer.headers;
-        res.body = answer.body;
+/// Returns how long the connection may stay idle.
+fn idle_left(node: &Node, idle: &Idle) -> Duration {
+    let timeout = node
+        .bundle()
+        .map_or(IDLE_TIMEOUT_DEFAULT, |bundle| bundle.limits.idle_timeout);
+    match idle.0.get() {
+        Some(since) => (since + timeout).saturating_sub(node.now()),
+        None => timeout,
     }
 }
--- a/entry/src/log.rs
+++ b/entry/src/log.rs
@@ -1,132 +1,125 @@
-//! Logs: one key=value line per event, written by a thread of its own behind a bounded queue.
+//! Logs: one key=value line per event on standard output, bounded in volume and never waiting.
 //!
-//! Nothing that logs ever waits. A line that does not fit into the queue is dropped and counted;
-//! the log thread reports the count as soon as it can write again.
+//! Lines are collected in memory and written by the process's only thread between other work, to a
+//! descriptor that does not block. Lines above the rate of the settings, and lines that find the
+//! buffer full, are counted, and the count is logged.
 
+use std::cell::{Cell, RefCell};
 use std::fmt::{self, Write as _};
-use std::io::Write;
-use std::panic::AssertUnwindSafe;
-use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, mpsc};
-use std::thread;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
-
-use lacewingmoor_control::Decision;
-use metrics::{Counter, counter};
+use std::io::Write as _;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use metrics::counter;
 use slog::{Drain, KV as _, Key, Level, Logger, Never, OwnedKVList, Record};
 
-/// Lines that wait for the log thread. 16,384 decisions take about 4 MB and cover more than one
-/// second at the request rate that one entry is built for.
-pub const QUEUE_LINES: usize = 16_384;
+/// Bytes that wait to be written. Covers about a second of a reader that pauses.
+const BUFFER_BYTES_MAX: usize = 64 * 1024;
+
+/// Seconds of the allowed rate that may be logged at once.
+const BURST_S: f64 = 2.0;
 
-/// Lines after which the output is flushed even if more lines keep coming.
-const FLUSH_LINES: usize = 256;
+/// Interval at which collected lines are written.
+pub const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
-enum Line {
-    Text(String),
-    Decision(SystemTime, Decision),
-    Flush(mpsc::SyncSender<()>),
+struct Buffer {
+    bytes: RefCell<Vec<u8>>,
+    tokens: Cell<f64>,
+    filled_at: Cell<Instant>,
+    left_out: Cell<u64>,
+    lines_per_s: f64,
 }
 
-/// Sending end of the log pipeline.
-#[derive(Clone)]
-pub struct Pipeline {
-    lines: mpsc::SyncSender<Line>,
-    dropped: Arc<Dropped>,
+thread_local! {
+    static BUFFER: RefCell<Option<Buffer>> = const { RefCell::new(None) };
 }
 
-struct Dropped {
-    /// Lines dropped since the start.
-    count: AtomicU64,
-    total: AssertUnwindSafe<Counter>,
+/// Returns a logger that writes events of `level` and above, at most `lines_per_s` a second.
+pub fn logger(level: Level, lines_per_s: u32, node: &str) -> Logger {
+    let buffer = Buffer {
+        bytes: RefCell::default(),
+        tokens: Cell::new(f64::from(lines_per_s) * BURST_S),
+        filled_at: Cell::new(Instant::now()),
+        left_out: Cell::new(0),
+        lines_per_s: f64::from(lines_per_s),
+    };
+    BUFFER.set(Some(buffer));
+    let drain = Lines.filter_level(level).fuse();
+    Logger::root(drain, slog::o!("node" => node.to_owned()))
 }
 
-impl Pipeline {
-    /// Starts the log thread with a queue of `queue_lines` lines.
-    ///
-    /// # Panics
-    ///
-    /// Panics if the operating system cannot start a thread.
-    pub fn start(output: impl Write + Send + 'static, queue_lines: usize) -> Self {
-        let (lines, receiver) = mpsc::sync_channel(queue_lines);
-        let dropped = Arc::new(Dropped {
-            count: AtomicU64::new(0),
-            total: AssertUnwindSafe(counter!("lacewingmoor_log_lines_dropped_total")),
-        });
-        let counted = dropped.clone();
-        thread::Builder::new()
-            .name("log".into())
-            .spawn(move || write_lines(output, &receiver, &counted))
-            .expect("the log thread starts");
-        Self { lines, dropped }
-    }
+/// Returns a logger that discards everything.
+pub fn discard() -> Logger {
+    Logger::root(slog::Discard, slog::o!())
+}
 
-    /// Waits until every line queued so far is written, at most for `timeout`.
-    pub fn flush(&self, timeout: Duration) {
-        let (done, wait) = mpsc::sync_channel(1);
-        if self.lines.try_send(Line::Flush(done)).is_ok() {
-            let _ = wait.recv_timeout(timeout);
+/// Writes collected lines to standard output.
+pub fn write_out() {
+    BUFFER.with_borrow(|buffer| {
+        let Some(buffer) = buffer else {
+            return;
+        };
+        buffer.report_left_out();
+        let mut bytes = buffer.bytes.borrow_mut();
+        if bytes.is_empty() {
+            return;
         }
-    }
-
-    /// Returns the number of lines dropped so far.
-    pub fn dropped(&self) -> u64 {
-        self.dropped.count.load(Ordering::Relaxed)
-    }
-
-    fn push(&self, line: Line) {
-        if self.lines.try_send(line).is_err() {
-            self.dropped.count.fetch_add(1, Ordering::Relaxed);
-            self.dropped.total.increment(1);
+        // A log that cannot be written must not stop the process; the lines are counted.
+        if std::io::stdout().write_all(&bytes).is_err() {
+            counter!("lacewingmoor_log_writes_failed_total").increment(1);
         }
-    }
+        bytes.clear();
+    });
 }
 
-/// Writes decisions to the log pipeline, or discards them when they are turned off.
-#[derive(Clone)]
-pub struct DecisionLog(Option<Pipeline>);
-
-impl DecisionLog {
-    /// Logs decisions to `pipeline` if `enabled`.
-    pub fn new(pipeline: &Pipeline, enabled: bool) -> Self {
-        Self(enabled.then(|| pipeline.clone()))
-    }
-
-    /// Returns a log that discards every decision.
-    pub fn off() -> Self {
-        Self(None)
+impl Buffer {
+    /// Takes one line out of the allowed rate.
+    fn take(&self) -> bool {
+        let now = Instant::now();
+        let elapsed = now - self.filled_at.replace(now);
+        let burst = self.lines_per_s * BURST_S;
+        let tokens = (self.tokens.get() + elapsed.as_secs_f64() * self.lines_per_s).min(burst);
+        let enough = tokens >= 1.0 && self.bytes.borrow().len() < BUFFER_BYTES_MAX;
+        self.tokens.set(if enough { tokens - 1.0 } else { tokens });
+        enough
+    }
+
+    fn push(&self, level: Level, line: &str) {
+        // Warnings are rare and say what is wrong, so only the size of the buffer bounds them.
+        let urgent = level.is_at_least(Level::Warning);
+        let fits = self.bytes.borrow().len() < BUFFER_BYTES_MAX;
+        if (urgent && fits) || self.take() {
+            self.bytes.borrow_mut().extend_from_slice(line.as_bytes());
+        } else {
+            self.left_out.set(self.left_out.get() + 1);
+            counter!("lacewingmoor_log_lines_left_out_total").increment(1);
+        }
     }
 
-    /// Queues a line for a decision.
-    pub fn write(&self, decision: Decision) {
-        if let Some(pipeline) = &self.0 {
-            pipeline.push(Line::Decision(SystemTime::now(), decision));
+    fn report_left_out(&self) {
+        let count = self.left_out.take();
+        if count == 0 {
+            return;
         }
+        let mut line = String::new();
+        start_line(&mut line, Level::Warning);
+        pair(&mut line, "event", "log_lines_left_out");
+        pair(&mut line, "count", count);
+        line.push('\n');
+        self.bytes.borrow_mut().extend_from_slice(line.as_bytes());
     }
 }
 
-/// Returns a logger that writes events of `level` and above to the pipeline.
-pub fn logger(pipeline: &Pipeline, level: Level, node: &str) -> Logger {
-    let drain = Lines(pipeline.clone()).filter_level(level).fuse();
-    Logger::root(drain, slog::o!("node" => node.to_owned()))
-}
-
-/// Returns a logger that discards everything.
-pub fn discard() -> Logger {
-    Logger::root(slog::Discard, slog::o!())
-}
-
-struct Lines(Pipeline);
+struct Lines;
 
 impl Drain for Lines {
     type Ok = ();
     type Err = Never;
 
     fn log(&self, record: &Record<'_>, values: &OwnedKVList) -> Result<(), Never> {
-        let mut line = String::with_capacity(160);
-        start_line(&mut line, SystemTime::now(), record.level());
+        let mut line = String::with_capacity(200);
+        start_line(&mut line, record.level());
         pair(&mut line, "event", record.msg());
-        let mut pairs = Pairs(Vec::with_capacity(8));
+        let mut pairs = Pairs(Vec::with_capacity(12));
         // Collecting cannot fail.
         let _ = values.serialize(record, &mut pairs);
         let _ = record.kv().serialize(record, &mut pairs);
@@ -135,7 +128,11 @@
             pair(&mut line, key, value);
         }
         line.push('\n');
-        self.0.push(Line::Text(line));
+        BUFFER.with_borrow(|buffer| {
+            if let Some(buffer) = buffer {
+                buffer.push(record.level(), &line);
+            }
+        });
         Ok(())
     }
 }
@@ -149,8 +146,11 @@
     }
 }
 
-fn start_line(line: &mut String, time: SystemTime, level: Level) {
-    let since = time.duration_since(UNIX_EPOCH).unwrap_or_default();
+fn start_line(line: &mut String, level: Level) {
+    let since = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    // Formatting into a string cannot fail.
     let _ = write!(
         line,
         "time_ms={} level={}",
@@ -171,76 +171,3 @@
         let _ = write!(line, "{text:?}");
     }
 }
-
-/// Formats a decision as one line.
-pub fn decision_line(line: &mut String, time: SystemTime, decision: &Decision) {
-    start_line(line, time, Level::Info);
-    pair(line, "event", "decision");
-    pair(line, "kind", format_args!("{:?}", decision.kind));
-    if let Some(request) = decision.request {
-        pair(line, "request", request);
-    }
-    if let Some(attempt) = decision.attempt {
-        pair(line, "attempt", attempt);
-    }
-    if let Some(route) = &decision.route {
-        pair(line, "route", route);
-    }
-    if let Some(target) = &decision.target {
-        pair(line, "target", target);
-    }
-    if let Some(zone) = &decision.zone {
-        pair(line, "zone", zone);
-    }
-    if let Some(state) = decision.state {
-        pair(line, "state", format_args!("{state:?}"));
-    }
-    pair(line, "reason", decision.reason);
-    pair(line, "version", decision.version);
-    line.push('\n');
-}
-
-fn write_lines(output: impl Write, lines: &mpsc::Receiver<Line>, dropped: &Dropped) {
-    let mut output = std::io::BufWriter::with_capacity(64 * 1024, output);
-    let mut text = String::new();
-    let mut unflushed = 0;
-    let mut reported = 0;
-    loop {
-        let line = match lines.try_recv() {
-            Ok(line) => line,
-            Err(_) => {
-                let _ = output.flush();
-                unflushed = 0;
-                match lines.recv() {
-                    Ok(line) => line,
-                    Err(_) => return,
-                }
-            }
-        };
-        text.clear();
-        match line {
-            Line::Text(line) => text = line,
-            Line::Decision(time, decision) => decision_line(&mut text, time, &decision),
-            Line::Flush(done) => {
-                let _ = output.flush();
-                let _ = done.try_send(());
-            }
-        }
-        let total = dropped.count.load(Ordering::Relaxed);
-        let lost = total - reported;
-        if lost > 0 {
-            reported = total;
-            start_line(&mut text, SystemTime::now(), Level::Warning);
-            pair(&mut text, "event", "log_lines_dropped");
-            pair(&mut text, "count", lost);
-            text.push('\n');
-        }
-        // A log that cannot be written must not stop the process.
-        let _ = output.write_all(text.as_bytes());
-        unflushed += 1;
-        if unflushed >= FLUSH_LINES {
-            let _ = output.flush();
-            unflushed = 0;
-        }
-    }
-}
--- a/entry/src/metrics.rs
+++ b/entry/src/metrics.rs
@@ -1,4 +1,4 @@
-//! Metrics of the entry. docs/METRICS.md lists names and units.
+//! Metrics of the entry. docs/OPERATIONS.md lists names and units.
 
 use std::time::Duration;
 
@@ -7,8 +7,7 @@
 
 /// Bucket limits of time histograms in seconds.
 const SECONDS: &[f64] = &[
-    0.0001, 0.00025, 0.0005, 0.00096, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5,
-    10.0,
+    0.0005, 0.001, 0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 10.0,
 ];
 
 /// Interval at which histogram samples are folded into buckets.
@@ -37,26 +36,22 @@
         .clone()
 }
 
-/// Handles of the metrics on the data path, looked up once.
+/// Handles of the metrics on the request path, looked up once.
 pub struct Traffic {
     /// Requests read from callers.
     pub requests: Counter,
-    /// Answers of targets passed on whole.
-    pub complete: Counter,
-    /// Answers of targets that broke off in the body.
-    pub cut: Counter,
-    /// Requests whose caller went away before the end.
-    pub caller_gone: Counter,
-    /// Attempts sent to targets.
-    pub attempts: Counter,
-    /// Malformed load reports.
-    pub bad_reports: Counter,
-    /// Connections opened to targets.
-    pub connects: Counter,
     /// Requests in flight.
     pub in_flight: Gauge,
-    /// Time from the head of the request to the first dispatch.
-    pub decide: Histogram,
+    /// Attempts sent to targets.
+    pub attempts: Counter,
+    /// Targets asked for their load before a send.
+    pub probes: Counter,
+    /// Targets that were asked and gave no usable answer.
+    pub probe_failures: Counter,
+    /// Time from the head of a request to its first send.
+    pub place: Histogram,
+    /// Time from the head of a request to the head of its answer.
+    pub answer: Histogram,
 }
 
 impl Traffic {
@@ -64,14 +59,12 @@
     pub fn new() -> Self {
         Self {
             requests: counter!("lacewingmoor_requests_total"),
-            complete: counter!("lacewingmoor_answers_total", "end" => "complete"),
-            cut: counter!("lacewingmoor_answers_total", "end" => "cut"),
-            caller_gone: counter!("lacewingmoor_answers_total", "end" => "caller_gone"),
-            attempts: counter!("lacewingmoor_attempts_total"),
-            bad_reports: counter!("lacewingmoor_load_reports_malformed_total"),
-            connects: counter!("lacewingmoor_target_connections_opened_total"),
             in_flight: gauge!("lacewingmoor_requests_in_flight"),
-            decide: histogram!("lacewingmoor_decision_seconds"),
+            attempts: counter!("lacewingmoor_attempts_total"),
+            probes: counter!("lacewingmoor_probes_total"),
+            probe_failures: counter!("lacewingmoor_probe_failures_total"),
+            place: histogram!("lacewingmoor_place_seconds"),
+            answer: histogram!("lacewingmoor_answer_seconds"),
         }
     }
 }
@@ -82,13 +75,7 @@
     }
 }
 
-/// Counts an answer made by the entry itself.
-pub fn own_answer(outcome: &'static str, reason: &'static str) {
-    counter!("lacewingmoor_own_answers_total", "outcome" => outcome, "reason" => reason)
-        .increment(1);
-}
-
-/// Counts a broken invariant.
-pub fn violation(invariant: &'static str) {
-    counter!("lacewingmoor_violations_total", "invariant" => invariant).increment(1);
+/// Counts the end of a request.
+pub fn request_ended(end: &'static str) {
+    counter!("lacewingmoor_requests_ended_total", "end" => end).increment(1);
 }
--- /dev/null
+++ b/entry/src/node.rs
@@ -0,0 +1,128 @@
+//! State of the process that its tasks share. All tasks run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::time::Instant;
+
+use lacewingmoor_bundle::Bundle;
+use lacewingmoor_control::book::Book;
+use lacewingmoor_control::budget::RetryBudget;
+use lacewingmoor_control::facts::TargetId;
+use lacewingmoor_control::place::{Place, WorkTime};
+use lacewingmoor_control::split::Splitter;
+use lacewingmoor_control::stop::{Phase, Stop};
+use lacewingmoor_control::view::View;
+use lacewingmoor_control::{Map, Now};
+use rand::rngs::StdRng;
+use slog::Logger;
+use tokio::sync::watch;
+
+use crate::connection::Pool;
+use crate::metrics::Traffic;
+use crate::settings::Settings;
+
+/// What this entry has seen of a service.
+pub struct ServiceState {
+    /// Usual time that a request takes on an idle target.
+    pub work: WorkTime,
+    /// Repeated sends.
+    pub budget: RetryBudget,
+    /// False once a health answer came without a load report.
+    pub reports_load: bool,
+}
+
+/// Shared state.
+pub struct Node {
+    /// Settings.
+    pub settings: Settings,
+    /// Where the entry stands.
+    pub here: Place,
+    /// Logger.
+    pub log: Logger,
+    /// Metrics of the request path.
+    pub traffic: Traffic,
+    /// What is believed about the fleet.
+    pub view: RefCell<View>,
+    /// Own observations of targets.
+    pub books: RefCell<Map<TargetId, Book>>,
+    /// Own observations of services.
+    pub services: RefCell<Map<String, ServiceState>>,
+    /// Division of split routes.
+    pub splits: RefCell<Map<String, Splitter>>,
+    /// Connections to targets.
+    pub pool: Pool,
+    /// Source of random choices.
+    pub rng: RefCell<StdRng>,
+    /// Requests in flight.
+    pub in_flight: Cell<usize>,
+    started_at: Instant,
+    stop: RefCell<Stop>,
+    leaving: watch::Sender<bool>,
+}
+
+impl Node {
+    /// Creates the state of a process that starts now.
+    pub fn new(settings: Settings, log: Logger) -> Rc<Self> {
+        let here = Place {
+            zone: settings.zone.as_str().into(),
+            region: settings.region.as_str().into(),
+        };
+        Rc::new(Self {
+            here,
+            log,
+            traffic: Traffic::new(),
+            view: RefCell::default(),
+            books: RefCell::default(),
+            services: RefCell::default(),
+            splits: RefCell::default(),
+            pool: Pool::default(),
+            rng: RefCell::new(rand::make_rng()),
+            in_flight: Cell::new(0),
+            started_at: Instant::now(),
+            stop: RefCell::default(),
+            leaving: watch::Sender::new(false),
+            settings,
+        })
+    }
+
+    /// Returns the time since the start of the process.
+    pub fn now(&self) -> Now {
+        self.started_at.elapsed()
+    }
+
+    /// Returns the instant that stands for `at`.
+    pub fn instant(&self, at: Now) -> tokio::time::Instant {
+        (self.started_at + at).into()
+    }
+
+    /// Returns the bundle in force.
+    pub fn bundle(&self) -> Option<Rc<Bundle>> {
+        self.view.borrow().bundle().cloned()
+    }
+
+    /// Starts the graceful stop.
+    pub fn begin_stop(&self) {
+        self.stop.borrow_mut().begin(self.now());
+        self.leaving.send_replace(true);
+    }
+
+    /// Returns the phase of the process.
+    pub fn phase(&self) -> Phase {
+        self.stop.borrow().phase(self.now(), self.settings.grace)
+    }
+
+    /// Returns a receiver that turns true when the process is to stop.
+    pub fn leaving(&self) -> watch::Receiver<bool> {
+        self.leaving.subscribe()
+    }
+
+    /// Returns true if callers may be sent here.
+    pub fn is_ready(&self) -> bool {
+        self.phase() == Phase::Running && self.view.borrow().bundle().is_some()
+    }
+
+    /// Calls `f` with the observations of a target.
+    pub fn with_book<T>(&self, id: &TargetId, f: impl FnOnce(&mut Book) -> T) -> T {
+        f(self.books.borrow_mut().entry(id.clone()).or_default())
+    }
+}
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -1,73 +1,169 @@
-//! Active probes of targets.
+//! Asks targets for their load over the connection that may carry the request.
 
-use std::net::SocketAddr;
-use std::time::Duration;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
 
-use http::StatusCode;
-use lacewingmoor_bundle::node_id;
-use lacewingmoor_control::{LoadReport, TargetState};
-use metrics::counter;
-use serde::Deserialize;
+use bytes::Bytes;
+use http::header::HOST;
+use http::{Request, StatusCode};
+use http_body_util::{BodyExt as _, Limited};
+use lacewingmoor_bundle::Service;
+use lacewingmoor_control::book::Load;
+use lacewingmoor_control::facts::Target;
+use lacewingmoor_platform::headers;
+use slog::debug;
+use tokio::sync::mpsc;
 
-use crate::http_get::fetch;
+use crate::connection::Connection;
+use crate::node::Node;
 
-/// Longest answer of a load endpoint in bytes.
-const REPORT_BYTES_MAX: usize = 4096;
+/// Time after which a target counts as unreachable.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
-#[derive(Deserialize)]
-struct RawReport {
-    state: String,
-    #[serde(default)]
-    in_flight: u32,
-    #[serde(default)]
-    queue: u32,
-    #[serde(default)]
-    start_id: String,
+/// Longest body of a health answer.
+const BODY_BYTES_MAX: usize = 16 * 1024;
+
+/// A target that answered.
+pub struct Probed {
+    /// The target.
+    pub target: Rc<Target>,
+    /// Its load; `None` if the service does not report it.
+    pub load: Option<Load>,
+    /// Time that the question took.
+    pub round_trip: Duration,
+    /// The connection, ready for a request.
+    pub connection: Connection,
 }
 
-/// Asks a target for its load; `None` if there is no well-formed answer within `timeout`.
-pub async fn probe(
-    client: &reqwest::Client,
-    addr: SocketAddr,
-    path: &str,
-    timeout: Duration,
-) -> Option<LoadReport> {
-    counter!("lacewingmoor_probes_total").increment(1);
-    let request = client.get(format!("http://{addr}{path}"));
-    let report = match fetch("probe", request, timeout, REPORT_BYTES_MAX).await {
-        Ok((response, body)) if response.status() == StatusCode::OK => parse(&body),
-        _ => None,
-    };
-    if report.is_none() {
-        counter!("lacewingmoor_probe_failures_total").increment(1);
+/// Why a target is not used.
+enum Unusable {
+    /// No answer.
+    Unreachable(String),
+    /// It is full and rejected the question.
+    Full,
+    /// It says that it is not healthy or leaves.
+    Unhealthy(StatusCode),
+    /// Another target has the address.
+    OtherTarget,
+}
+
+/// Asks `targets` at the same time. Answers arrive in the channel as they come; a question whose
+/// answer nobody waits for still updates what is known of the target.
+pub fn ask(
+    node: &Rc<Node>,
+    service: &Service,
+    targets: Vec<Rc<Target>>,
+) -> mpsc::UnboundedReceiver<Option<Probed>> {
+    let (answers, receiver) = mpsc::unbounded_channel();
+    for target in targets {
+        let node = node.clone();
+        let answers = answers.clone();
+        let health_path = service.health_path.clone();
+        node.traffic.probes.increment(1);
+        tokio::task::spawn_local(async move {
+            let answer = ask_one(&node, target, &health_path).await;
+            if let Err(unsent) = answers.send(answer) {
+                keep(&node, unsent.0);
+            }
+        });
     }
-    report
+    receiver
 }
 
-fn parse(body: &[u8]) -> Option<LoadReport> {
-    let raw: RawReport = serde_json::from_slice(body).ok()?;
-    Some(LoadReport {
-        state: target_state(&raw.state)?,
-        in_flight: raw.in_flight,
-        queue: raw.queue,
-        start: start_hash(&raw.start_id),
-    })
+/// Returns the connection of an answer that is not used.
+pub fn keep(node: &Node, probed: Option<Probed>) {
+    if let Some(probed) = probed {
+        node.pool.put(probed.connection);
+    }
 }
 
-/// Reads the name of a target state, as used by load endpoints and load reports.
-pub fn target_state(name: &str) -> Option<TargetState> {
-    Some(match name {
-        "cold" => TargetState::Cold,
-        "warming" => TargetState::Warming,
-        "warm" => TargetState::Warm,
-        "shedding" => TargetState::Shedding,
-        "draining" => TargetState::Draining,
-        "leaving" => TargetState::Leaving,
-        _ => return None,
-    })
+async fn ask_one(node: &Rc<Node>, target: Rc<Target>, health_path: &str) -> Option<Probed> {
+    let asked_at = Instant::now();
+    let asked = tokio::time::timeout(PROBE_TIMEOUT, exchange(node, &target, health_path)).await;
+    let asked = asked.unwrap_or_else(|_| Err(Unusable::Unreachable("timed out".into())));
+    let now = node.now();
+    let why = match asked {
+        Ok((connection, load)) => {
+            return Some(Probed {
+                target,
+                load,
+                round_trip: asked_at.elapsed(),
+                connection,
+            });
+        }
+        Err(why) => why,
+    };
+    node.traffic.probe_failures.increment(1);
+    let why = match why {
+        // A full target is sound; the next question may find it free.
+        Unusable::Full => "full".into(),
+        Unusable::Unreachable(why) => {
+            node.with_book(&target.id, |book| book.failed(now));
+            why
+        }
+        Unusable::Unhealthy(status) => {
+            node.with_book(&target.id, |book| book.failed(now));
+            format!("status {}", status.as_u16())
+        }
+        Unusable::OtherTarget => {
+            node.with_book(&target.id, |book| book.failed(now));
+            "another target has the address".into()
+        }
+    };
+    debug!(node.log, "probe_failed"; "target" => &*target.id, "why" => why);
+    None
+}
+
+async fn exchange(
+    node: &Rc<Node>,
+    target: &Target,
+    health_path: &str,
+) -> Result<(Connection, Option<Load>), Unusable> {
+    let unreachable = |e: crate::connection::Error| Unusable::Unreachable(e.to_string());
+    let mut connection = node
+        .pool
+        .get(target.addr, PROBE_TIMEOUT)
+        .await
+        .map_err(unreachable)?;
+    let mut answer = connection.send(question(target, health_path)).await;
+    if answer.as_ref().is_err_and(|e| e.is_not_written()) {
+        // The pooled connection had been closed by the target.
+        connection = Connection::open(target.addr, PROBE_TIMEOUT)
+            .await
+            .map_err(unreachable)?;
+        answer = connection.send(question(target, health_path)).await;
+    }
+    let (head, body) = answer.map_err(unreachable)?.into_parts();
+    Limited::new(body, BODY_BYTES_MAX)
+        .collect()
+        .await
+        .map_err(|e| Unusable::Unreachable(e.to_string()))?;
+    if headers::target_id(&head.headers).is_some_and(|id| id != &*target.id) {
+        return Err(Unusable::OtherTarget);
+    }
+    let load = headers::load(&head.headers);
+    let now = node.now();
+    node.with_book(&target.id, |book| {
+        if let Some(load) = load {
+            book.reported(now, load);
+        }
+        if let Some(left) = headers::warmup_left(&head.headers) {
+            book.warmup(now, left);
+        }
+    });
+    if headers::is_not_run(head.status, &head.headers) {
+        return Err(Unusable::Full);
+    }
+    if head.status != StatusCode::OK {
+        return Err(Unusable::Unhealthy(head.status));
+    }
+    node.with_book(&target.id, |book| book.reached());
+    Ok((connection, load))
 }
 
-/// Hashes the id of a target's start. Probes and load reports on answers must give the same hash.
-pub fn start_hash(start_id: &str) -> u64 {
-    node_id(start_id)
+fn question(target: &Target, health_path: &str) -> Request<Bytes> {
+    Request::get(health_path)
+        .header(HOST, target.addr.to_string())
+        .body(Bytes::new())
+        .expect("the health path was checked with the bundle")
 }
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -1,321 +1,314 @@
-//! One request from its head to the head of its answer: attempts, hedges, cancellation, deadline.
+//! The way of one request: route, body, target, answer.
 
-use std::future::{Future, poll_fn};
-use std::pin::Pin;
-use std::sync::Arc;
-use std::task::Poll;
-use std::time::Instant;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::Duration;
 
-use http::header::{HeaderMap, HeaderValue};
-use http::{Method, Response, StatusCode, Uri, Version};
-use hyper::body::Incoming;
-use lacewingmoor_control::{
-    Arrival, Attempt, Dispatch, Event, Fate, LoadReport, Outcome, Refusal, RequestId,
-};
-use salvo::http::ResBody;
+use bytes::Bytes;
+use http::header::HOST;
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, LengthLimitError, Limited};
+use hyper::body::{Body as _, Incoming};
+use lacewingmoor_bundle::{Bundle, Route, Service};
+use lacewingmoor_control::Now;
+use lacewingmoor_control::admit::Waiting;
+use lacewingmoor_control::attempt::{Attempts, Next};
+use lacewingmoor_control::budget::RetryBudget;
+use lacewingmoor_control::place::WorkTime;
+use lacewingmoor_platform::headers;
+use slog::info;
 
-use crate::answer::{Answer, Exchange, TargetBody, own, refusal};
-use crate::body::{BodyFault, RequestBody};
-use crate::caller::Shared;
-use crate::control::{Command, Commands};
-use crate::head::{self, LOAD_REPORT, REQUEST_DEADLINE_MS, REQUEST_NOT_RUN};
-use crate::target::{Conn, Gate};
+use crate::answer::{AnswerBody, Own, remove_hop_by_hop};
+use crate::metrics::request_ended;
+use crate::node::{Node, ServiceState};
+use crate::place::Seeking;
+use crate::send::{Failed, Outgoing};
 
-/// What is sent to targets, the same for every attempt.
-pub struct Outgoing {
-    /// Method.
-    pub method: Method,
-    /// Path and query, unchanged.
-    pub uri: Uri,
-    /// Header fields without those of the caller's connection.
-    pub headers: HeaderMap,
-    /// Body.
-    pub body: Arc<RequestBody>,
-}
+/// Time that a caller waits if it does not say.
+const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 
-struct Head {
-    response: Response<Incoming>,
-    conn: Conn,
-}
+/// When a caller may come back to an entry that has no bundle yet.
+const NO_BUNDLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-type Failure = Outcome;
+/// Counts a request in flight in the process.
+struct InFlight(Rc<Node>);
 
-struct Running {
-    attempt: Attempt,
-    future: Pin<Box<dyn Future<Output = Result<Head, Failure>> + Send>>,
+impl InFlight {
+    fn new(node: &Rc<Node>) -> Self {
+        node.in_flight.set(node.in_flight.get() + 1);
+        node.traffic.in_flight.increment(1.0);
+        Self(node.clone())
+    }
 }
 
-enum Step {
-    Command(Option<Command>),
-    Ended(usize, Result<Head, Failure>),
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.set(self.0.in_flight.get() - 1);
+        self.0.traffic.in_flight.decrement(1.0);
+    }
 }
 
-/// Runs a request and returns the answer for the caller.
-pub async fn run(shared: &Arc<Shared>, arrival: Arrival, outgoing: Outgoing) -> Answer {
-    let request = arrival.request;
-    let arrived = Instant::now();
-    let mut request = Request {
-        shared: shared.clone(),
-        id: request,
-        commands: shared.control.arrive(arrival),
-        outgoing: Arc::new(outgoing),
-        running: Vec::with_capacity(2),
-        sent: false,
-        over: false,
-    };
-    let mut first = Some(arrived);
-    loop {
-        match request.step().await {
-            Step::Command(Some(Command::Dispatch(dispatch))) => {
-                if let Some(arrived) = first.take() {
-                    shared.metrics.decide.record(arrived.elapsed());
-                }
-                request.dispatch(dispatch);
-            }
-            Step::Command(Some(Command::Cancel(attempt))) => request.cancel(attempt),
-            Step::Command(Some(Command::Refuse(refused))) => return request.refuse(&refused),
-            Step::Command(None) => return request.control_lost(),
-            Step::Ended(index, result) => {
-                if let Some(answer) = request.ended(index, result) {
-                    return answer;
-                }
-            }
+/// Result of a request, for the log.
+struct End {
+    response: Response<AnswerBody>,
+    reason: &'static str,
+}
+
+impl From<Own> for End {
+    fn from(own: Own) -> Self {
+        Self {
+            reason: own.reason,
+            response: own.response(),
         }
     }
 }
 
-struct Request {
-    shared: Arc<Shared>,
-    id: RequestId,
-    commands: Commands,
-    outgoing: Arc<Outgoing>,
-    running: Vec<Running>,
-    /// True once an attempt may have written a byte.
-    sent: bool,
-    /// True once the request needs no more bookkeeping when it is dropped.
-    over: bool,
+/// Serves one request.
+///
+/// # Errors
+///
+/// Never: every failure has an answer.
+pub async fn serve(
+    node: Rc<Node>,
+    request: Request<Incoming>,
+) -> Result<Response<AnswerBody>, Infallible> {
+    let _in_flight = InFlight::new(&node);
+    node.traffic.requests.increment(1);
+    let arrived = node.now();
+    let (head, body) = request.into_parts();
+    let mut course = Course {
+        node: &node,
+        arrived,
+        attempts: Attempts::default(),
+        rounds: 0,
+        route: None,
+        last_failure: String::new(),
+    };
+    let end = match course.run(&head, body).await {
+        Ok(response) => End {
+            response,
+            reason: "answered",
+        },
+        Err(own) => own.into(),
+    };
+    course.log(&head.headers, &end);
+    request_ended(end.reason);
+    node.traffic.answer.record(node.now().saturating_sub(arrived));
+    Ok(end.response)
+}
+
+/// State of a request on its way.
+struct Course<'a> {
+    node: &'a Rc<Node>,
+    arrived: Now,
+    attempts: Attempts,
+    rounds: u32,
+    route: Option<(Rc<Bundle>, usize)>,
+    last_failure: String,
 }
 
-impl Request {
-    /// Waits for the next thing to handle. An answer goes before commands, so that an answer that
-    /// is there is not thrown away. The reducer keeps the deadline.
-    async fn step(&mut self) -> Step {
-        poll_fn(|cx| {
-            for (index, running) in self.running.iter_mut().enumerate() {
-                if let Poll::Ready(result) = running.future.as_mut().poll(cx) {
-                    return Poll::Ready(Step::Ended(index, result));
-                }
-            }
-            if let Poll::Ready(command) = self.commands.poll_recv(cx) {
-                return Poll::Ready(Step::Command(command));
-            }
-            Poll::Pending
-        })
-        .await
+impl Course<'_> {
+    async fn run(&mut self, head: &Parts, body: Incoming) -> Result<Response<AnswerBody>, Own> {
+        let bundle = self
+            .node
+            .bundle()
+            .ok_or_else(|| Own::not_run("no bundle yet", NO_BUNDLE_RETRY_AFTER))?;
+        let host = host(head);
+        let route_id = bundle
+            .route(&host, head.uri.path())
+            .ok_or(Own::invalid(StatusCode::NOT_FOUND, "no route"))?;
+        self.route = Some((bundle.clone(), route_id));
+        let route = &bundle.routes[route_id];
+        let service = self.service(&bundle, route)?;
+        let deadline = headers::deadline(&head.headers).unwrap_or(DEADLINE_DEFAULT);
+        let body = read_body(body, bundle.limits.body_bytes_max).await?;
+        let mut head = head.clone();
+        clean(&mut head);
+        let latest = self.arrived + deadline.min(route.timeout);
+        let outgoing = Outgoing {
+            request_id: headers::request_id(&head.headers),
+            head: &head,
+            body: &body,
+            repeat: route.repeat,
+            latest,
+            deadline: self.arrived + deadline,
+        };
+        let seeking = Seeking {
+            route,
+            service,
+            waiting: Waiting {
+                arrived: self.arrived,
+                objective: route.objective,
+                latest,
+                rounds: 0,
+            },
+            tried: Vec::new(),
+        };
+        self.attempt(&outgoing, seeking).await
     }
 
-    fn dispatch(&mut self, dispatch: Dispatch) {
-        self.outgoing.body.limit(dispatch.body_bytes_max);
-        self.shared.metrics.attempts.increment(1);
-        self.running.push(Running {
-            attempt: dispatch.attempt,
-            future: Box::pin(attempt(
-                self.shared.clone(),
-                self.outgoing.clone(),
-                dispatch,
-            )),
-        });
+    /// Divides the request among the route's destinations and counts it.
+    fn service<'b>(&self, bundle: &'b Bundle, route: &Route) -> Result<&'b Service, Own> {
+        let id = {
+            let mut splits = self.node.splits.borrow_mut();
+            match splits.get_mut(&route.name) {
+                Some(split) => split.next(&route.destinations),
+                None => splits
+                    .entry(route.name.clone())
+                    .or_default()
+                    .next(&route.destinations),
+            }
+        };
+        let id = id.ok_or(Own::invalid(StatusCode::NOT_FOUND, "route leads nowhere"))?;
+        let service = &bundle.services[id];
+        let mut services = self.node.services.borrow_mut();
+        let state = services
+            .entry(service.name.clone())
+            .or_insert_with(|| ServiceState {
+                work: WorkTime::new(route.objective),
+                budget: RetryBudget::default(),
+                reports_load: true,
+            });
+        state
+            .budget
+            .request(self.node.now(), &self.node.settings.retry);
+        Ok(service)
     }
 
-    fn ended(&mut self, index: usize, result: Result<Head, Failure>) -> Option<Answer> {
-        let attempt = self.running.swap_remove(index).attempt;
-        match result {
-            Ok(head) => {
-                let shed = head.response.status() == StatusCode::SERVICE_UNAVAILABLE
-                    && head
-                        .response
-                        .headers()
-                        .get(REQUEST_NOT_RUN)
-                        .is_some_and(|v| v == "true");
-                let report = self.report(&head.response);
-                if shed {
-                    // A head event would make this attempt the answer of the request.
-                    drop(head);
-                    self.send_ended(attempt, Outcome::Shed);
-                    return None;
+    async fn attempt(
+        &mut self,
+        outgoing: &Outgoing<'_>,
+        mut seeking: Seeking<'_>,
+    ) -> Result<Response<AnswerBody>, Own> {
+        loop {
+            let placed = seeking.find(self.node).await;
+            self.rounds += seeking.waiting.rounds;
+            let placed = match placed {
+                Ok(placed) => placed,
+                Err(_) if self.attempts.may_have_run() => {
+                    return Err(Own::unknown(
+                        StatusCode::BAD_GATEWAY,
+                        "failed, no other target",
+                    ));
                 }
-                self.shared.control.send(Event::Head {
-                    request: self.id,
-                    attempt,
-                    status: head.response.status().as_u16(),
-                    report,
-                });
-                Some(self.pass_on(attempt, head))
+                Err(retry_after) => return Err(Own::not_run("no target in time", retry_after)),
+            };
+            if self.attempts.sent() == 0 {
+                let waited = self.node.now().saturating_sub(self.arrived);
+                self.node.traffic.place.record(waited);
             }
-            Err(outcome) => {
-                if let Some(answer) = self.body_fault(attempt, outcome) {
-                    return Some(answer);
+            let id = placed.target.id.clone();
+            let failed = match outgoing.send(self.node, placed).await {
+                Ok(response) => {
+                    self.attempts.send();
+                    return Ok(response);
+                }
+                Err(failed) => failed,
+            };
+            if failed.outcome != lacewingmoor_control::attempt::Outcome::NotSent {
+                self.attempts.send();
+            }
+            seeking.tried.push(id.clone());
+            let next = self.next(&failed, seeking.route, seeking.service);
+            info!(
+                self.node.log, "attempt_failed";
+                "request" => outgoing.request_id.unwrap_or("-"), "target" => &*id,
+                "outcome" => ?failed.outcome, "why" => &failed.why, "next" => ?next,
+            );
+            self.last_failure = failed.why;
+            match next {
+                Next::Retry if self.node.now() < outgoing.latest => {}
+                Next::Retry | Next::Unknown => {
+                    let status = match self.node.now() >= outgoing.latest {
+                        true => StatusCode::GATEWAY_TIMEOUT,
+                        false => StatusCode::BAD_GATEWAY,
+                    };
+                    return Err(Own::unknown(status, "outcome unknown"));
+                }
+                Next::RefuseNotRun => {
+                    return Err(Own::not_run(
+                        "rejected by targets",
+                        seeking.waiting.objective / 4,
+                    ));
+                }
+                Next::PassOn => {
+                    let answer = failed.answer.map(|(head, body)| {
+                        Response::from_parts(head, AnswerBody::Whole(Some(body)))
+                    });
+                    return answer
+                        .ok_or(Own::unknown(StatusCode::BAD_GATEWAY, "target failed"));
                 }
-                self.sent |= outcome == Outcome::Broken;
-                self.send_ended(attempt, outcome);
-                None
             }
         }
     }
 
-    fn report(&self, response: &Response<Incoming>) -> Option<LoadReport> {
-        let field = response.headers().get(LOAD_REPORT)?;
-        let report = head::load_report(field);
-        if report.is_none() {
-            self.shared.metrics.bad_reports.increment(1);
-        }
-        report
-    }
-
-    /// Passes the answer of an attempt on to the caller; all other attempts are cancelled.
-    fn pass_on(&mut self, attempt: Attempt, head: Head) -> Answer {
-        self.cancel_all();
-        self.over = true;
-        let (parts, incoming) = head.response.into_parts();
-        let mut headers = parts.headers;
-        head::strip_hop_by_hop(&mut headers);
-        headers.remove(LOAD_REPORT);
-        headers.remove(REQUEST_NOT_RUN);
-        let exchange = Exchange {
-            shared: self.shared.clone(),
-            request: self.id,
-            attempt,
-        };
-        let body = TargetBody::new(incoming, head.conn, exchange);
-        Answer {
-            status: parts.status,
-            headers,
-            body: ResBody::Boxed(Box::pin(body)),
-        }
-    }
-
-    /// Answers a request whose own body cannot be sent on.
-    fn body_fault(&mut self, attempt: Attempt, outcome: Outcome) -> Option<Answer> {
-        let (status, reason) = match self.outgoing.body.fault()? {
-            BodyFault::TooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "body-too-large"),
-            BodyFault::Caller => (StatusCode::BAD_REQUEST, "malformed-body"),
-            BodyFault::Consumed => return None,
+    fn next(&mut self, failed: &Failed, route: &Route, service: &Service) -> Next {
+        let now = self.node.now();
+        let node_count = self.node.view.borrow().node_count();
+        let mut services = self.node.services.borrow_mut();
+        let state = services.get_mut(&service.name);
+        let budget = || {
+            state.is_some_and(|s| s.budget.repeat(now, &self.node.settings.retry, node_count))
         };
-        let sent = self.sent || outcome == Outcome::Broken || !self.running.is_empty();
-        let fate = if sent { Fate::Unknown } else { Fate::NotRun };
-        let answer = self.give_up(status, fate, reason);
-        self.send_ended(attempt, Outcome::Cancelled);
-        Some(answer)
-    }
-
-    fn refuse(&mut self, refused: &Refusal) -> Answer {
-        self.finish(false);
-        refusal(refused)
+        self.attempts
+            .next(failed.outcome, route.repeat, route.attempts_max, budget)
     }
 
-    fn control_lost(&mut self) -> Answer {
-        let fate = if self.sent || !self.running.is_empty() {
-            Fate::Unknown
-        } else {
-            Fate::NotRun
+    fn log(&self, headers: &HeaderMap, end: &End) {
+        let waited = self.node.now().saturating_sub(self.arrived);
+        let (route, version) = match &self.route {
+            Some((bundle, id)) => (bundle.routes[*id].name.as_str(), bundle.version),
+            None => ("-", 0),
         };
-        self.give_up(StatusCode::INTERNAL_SERVER_ERROR, fate, "internal")
-    }
-
-    /// Ends the request without the reducer having asked for it.
-    fn give_up(&mut self, status: StatusCode, fate: Fate, reason: &'static str) -> Answer {
-        self.finish(true);
-        own(status, fate, reason, self.id, None)
-    }
-
-    fn cancel(&mut self, attempt: Attempt) {
-        if let Some(index) = self.running.iter().position(|r| r.attempt == attempt) {
-            self.running.swap_remove(index);
-            self.sent = true;
-            self.send_ended(attempt, Outcome::Cancelled);
-        }
-    }
-
-    fn cancel_all(&mut self) {
-        for running in std::mem::take(&mut self.running) {
-            let attempt = running.attempt;
-            // The connection has to be closed before the slot counts as free.
-            drop(running);
-            self.sent = true;
-            self.send_ended(attempt, Outcome::Cancelled);
-        }
-    }
-
-    fn send_ended(&self, attempt: Attempt, outcome: Outcome) {
-        self.shared.control.send(Event::Ended {
-            request: self.id,
-            attempt,
-            outcome,
-        });
+        info!(
+            self.node.log, "request";
+            "request" => headers::request_id(headers).unwrap_or("-"),
+            "route" => route, "version" => version,
+            "status" => end.response.status().as_u16(), "reason" => end.reason,
+            "attempts" => self.attempts.sent(), "rounds" => self.rounds,
+            "last_failure" => &self.last_failure, "ms" => waited.as_millis() as u64,
+        );
     }
+}
 
-    /// Ends the request. With `tell` the reducer learns that no answer is wanted any more; it has
-    /// to know that before the attempts end, or it would start others.
-    fn finish(&mut self, tell: bool) {
-        if std::mem::replace(&mut self.over, true) {
-            return;
-        }
-        let request = self.id;
-        if tell {
-            self.shared.control.send(Event::CallerGone { request });
-        }
-        self.cancel_all();
-        self.shared.control.finish(request);
-        self.shared.metrics.in_flight.decrement(1.0);
-    }
+/// Returns the host that a request names, without a port.
+fn host(head: &Parts) -> String {
+    let authority = head.uri.authority().map(|a| a.as_str());
+    let field = head.headers.get(HOST).and_then(|value| value.to_str().ok());
+    let host = authority.or(field).unwrap_or_default();
+    let name = match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    };
+    name.to_ascii_lowercase()
 }
 
-impl Drop for Request {
-    fn drop(&mut self) {
-        if !self.over {
-            self.shared.metrics.caller_gone.increment(1);
-            self.finish(true);
-        }
+/// Prepares a head for targets: origin form, without fields that concern one connection only.
+fn clean(head: &mut Parts) {
+    remove_hop_by_hop(&mut head.headers);
+    head.headers.remove(http::header::EXPECT);
+    head.headers.remove(http::header::CONTENT_LENGTH);
+    if head.uri.authority().is_some()
+        && let Some(path) = head.uri.path_and_query().cloned()
+    {
+        head.uri = path.into();
     }
 }
 
-/// Sends one attempt and waits for the head of the answer.
-async fn attempt(
-    shared: Arc<Shared>,
-    outgoing: Arc<Outgoing>,
-    dispatch: Dispatch,
-) -> Result<Head, Failure> {
-    let control = &shared.control;
-    let not_after = control.instant(dispatch.not_after);
-    if Instant::now() > not_after {
-        return Err(Outcome::Expired);
+/// Reads the body, so that it can be sent again to another target.
+async fn read_body(body: Incoming, bytes_max: u64) -> Result<Bytes, Own> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
     }
-    let mut conn = shared
-        .pool
-        .checkout(dispatch.addr, dispatch.connections_max, not_after)
-        .await
-        .map_err(|_| Outcome::NotSent)?;
-    let mut request = http::Request::new(outgoing.body.attempt());
-    *request.method_mut() = outgoing.method.clone();
-    *request.uri_mut() = outgoing.uri.clone();
-    *request.version_mut() = Version::HTTP_11;
-    *request.headers_mut() = outgoing.headers.clone();
-    let left_ms = dispatch.deadline.saturating_sub(control.now()).as_millis() as u64;
-    request
-        .headers_mut()
-        .insert(REQUEST_DEADLINE_MS, HeaderValue::from(left_ms));
-    match conn.sender.send_request(request).await {
-        Ok(response) => Ok(Head { response, conn }),
-        Err(_) => Err(failure(&conn.gate)),
+    let too_large = Own::invalid(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
+    if body.size_hint().lower() > bytes_max {
+        return Err(too_large);
     }
-}
-
-fn failure(gate: &Gate) -> Failure {
-    if gate.written() {
-        Outcome::Broken
-    } else if gate.expired() {
-        Outcome::Expired
-    } else {
-        Outcome::NotSent
+    let bytes_max = usize::try_from(bytes_max).unwrap_or(usize::MAX);
+    match Limited::new(body, bytes_max).collect().await {
+        Ok(body) => Ok(body.to_bytes()),
+        Err(e) if e.is::<LengthLimitError>() => Err(too_large),
+        Err(_) => Err(Own::invalid(StatusCode::BAD_REQUEST, "body not whole")),
     }
 }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -4,17 +4,15 @@
 use std::path::Path;
 use std::time::Duration;
 
-use base64::Engine as _;
-use base64::engine::general_purpose::STANDARD;
-use lacewingmoor_bundle::PublicKey;
-use lacewingmoor_control::{Policy, Setup};
+use lacewingmoor_control::Map;
+use lacewingmoor_control::budget::RetryLimits;
 use lacewingmoor_derive::value;
 use serde::Deserialize;
 
 use crate::error::Error;
 
-const UNREADY_MS_DEFAULT: u64 = 2000;
-const UNREADY_MS_MAX: u64 = 600_000;
+/// Lines a second that are logged by default. At 200 bytes a line this is 40 KB/s.
+const LOG_LINES_PER_S_DEFAULT: u32 = 200;
 
 /// Settings as written in the file. Values are strings so that all errors are reported at once.
 #[derive(Clone, Debug, Default, Deserialize)]
@@ -22,49 +20,57 @@
 pub struct RawSettings {
     /// Name of this entry.
     pub node: String,
-    /// Zone name.
+    /// Zone of this entry.
     pub zone: String,
-    /// Region name.
+    /// Region of this entry.
     pub region: String,
+    /// Region of every zone.
+    pub regions: Map<String, String>,
     /// Address for callers.
-    pub listen: String,
-    /// Address of the admin listener.
-    pub admin: String,
-    /// Address for peers.
-    pub peer: String,
+    pub callers: String,
+    /// Address of the readiness check.
+    pub ready: String,
+    /// Address of metrics and status.
+    pub metrics: String,
+    /// Address for other entries.
+    pub peers: String,
     /// Address of the store.
     pub store: String,
-    /// Address of the VM list.
-    pub vm_list: String,
-    /// Operator keys, base64.
-    pub operator_keys: Vec<String>,
-    /// Fleet key, base64.
-    pub fleet_key: String,
-    /// Choice of targets.
-    pub policy: Policy,
-    /// Seed of random choices; random when missing.
-    pub seed: Option<u64>,
-    /// Time between unready and the close of the listeners.
-    pub unready_ms: Option<u64>,
+    /// Time between the signal to stop and the kill, in seconds.
+    pub grace_s: f64,
+    /// Limits of repeated sends.
+    pub retry: RawRetry,
     /// Log settings.
     pub log: RawLog,
 }
 
+/// Limits of repeated sends as written in the file.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawRetry {
+    /// Repeats per request.
+    pub ratio: f64,
+    /// Repeats on top, for all entries together.
+    pub extra: f64,
+    /// Length of the sliding window in seconds.
+    pub window_s: f64,
+}
+
 /// Log settings as written in the file.
 #[derive(Clone, Debug, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct RawLog {
-    /// Whether routing and placement decisions are logged.
-    pub decisions: bool,
     /// Lowest level that is logged.
     pub level: String,
+    /// Most lines a second; what does not fit is counted.
+    pub lines_per_s: u32,
 }
 
 impl Default for RawLog {
     fn default() -> Self {
         Self {
-            decisions: true,
             level: "info".into(),
+            lines_per_s: LOG_LINES_PER_S_DEFAULT,
         }
     }
 }
@@ -74,34 +80,30 @@
 pub struct Settings {
     /// Name of this entry.
     pub node: String,
-    /// Zone name.
+    /// Zone of this entry.
     pub zone: String,
-    /// Region name.
+    /// Region of this entry.
     pub region: String,
+    /// Region of every zone.
+    pub regions: Map<String, String>,
     /// Address for callers.
-    pub listen: SocketAddr,
-    /// Address of the admin listener.
-    pub admin: SocketAddr,
-    /// Address for peers.
-    pub peer: SocketAddr,
+    pub callers: SocketAddr,
+    /// Address of the readiness check.
+    pub ready: SocketAddr,
+    /// Address of metrics and status.
+    pub metrics: SocketAddr,
+    /// Address for other entries.
+    pub peers: SocketAddr,
     /// Address of the store.
     pub store: SocketAddr,
-    /// Address of the VM list.
-    pub vm_list: SocketAddr,
-    /// Keys that may sign bundles.
-    pub operator_keys: Vec<PublicKey>,
-    /// Key that peers authenticate each other with.
-    pub fleet_key: [u8; 32],
-    /// Choice of targets.
-    pub policy: Policy,
-    /// Seed of random choices.
-    pub seed: u64,
-    /// Time between unready and the close of the listeners.
-    pub unready: Duration,
-    /// Whether routing and placement decisions are logged.
-    pub log_decisions: bool,
+    /// Time between the signal to stop and the kill.
+    pub grace: Duration,
+    /// Limits of repeated sends.
+    pub retry: RetryLimits,
     /// Lowest level that is logged.
     pub log_level: slog::Level,
+    /// Most log lines a second.
+    pub log_lines_per_s: u32,
 }
 
 impl Settings {
@@ -126,18 +128,6 @@
             .map_err(|error| Error::Settings(vec![error.to_string()]))?;
         Self::try_from(raw)
     }
-
-    /// Returns what the reducer is built with.
-    pub fn setup(&self, incarnation: u64) -> Setup {
-        Setup {
-            name: self.node.clone(),
-            zone: self.zone.clone(),
-            region: self.region.clone(),
-            incarnation,
-            policy: self.policy,
-            seed: self.seed,
-        }
-    }
 }
 
 struct Checker {
@@ -174,12 +164,21 @@
         SocketAddr::from(([0, 0, 0, 0], 0))
     }
 
-    fn key(&mut self, field: &str, value: &str) -> [u8; 32] {
-        let bytes = STANDARD.decode(value.trim()).unwrap_or_default();
-        <[u8; 32]>::try_from(bytes.as_slice()).unwrap_or_else(|_| {
-            self.add(format!("{field}: is not 32 bytes in base64"));
-            [0; 32]
-        })
+    fn seconds(&mut self, field: &str, value: f64) -> Duration {
+        match Duration::try_from_secs_f64(value) {
+            Ok(time) if !time.is_zero() => time,
+            _ => {
+                self.add(format!("{field}: {value} is not a time above 0 seconds"));
+                Duration::from_secs(1)
+            }
+        }
+    }
+
+    fn positive(&mut self, field: &str, value: f64) -> f64 {
+        if !value.is_finite() || value < 0.0 {
+            self.add(format!("{field}: {value} is not a number of 0 or more"));
+        }
+        value
     }
 }
 
@@ -188,20 +187,10 @@
 
     fn try_from(raw: RawSettings) -> Result<Self, Error> {
         let mut check = Checker { errors: Vec::new() };
-        let mut operator_keys = Vec::new();
-        if raw.operator_keys.is_empty() {
-            check.add("operator_keys: at least one key is needed".into());
-        }
-        for (i, text) in raw.operator_keys.iter().enumerate() {
-            match PublicKey::from_base64(text) {
-                Ok(key) => operator_keys.push(key),
-                Err(error) => check.add(format!("operator_keys[{i}]: {error}")),
-            }
-        }
-        let unready_ms = raw.unready_ms.unwrap_or(UNREADY_MS_DEFAULT);
-        if unready_ms > UNREADY_MS_MAX {
+        if raw.regions.get(&raw.zone) != Some(&raw.region) {
             check.add(format!(
-                "unready_ms: {unready_ms} is above {UNREADY_MS_MAX}"
+                "regions: does not map zone {:?} to region {:?}",
+                raw.zone, raw.region
             ));
         }
         let log_level = raw.log.level.parse().unwrap_or_else(|()| {
@@ -212,23 +201,26 @@
             node: check.name("node", raw.node),
             zone: check.name("zone", raw.zone),
             region: check.name("region", raw.region),
-            listen: check.addr("listen", &raw.listen),
-            admin: check.addr("admin", &raw.admin),
-            peer: check.addr("peer", &raw.peer),
+            regions: raw.regions,
+            callers: check.addr("callers", &raw.callers),
+            ready: check.addr("ready", &raw.ready),
+            metrics: check.addr("metrics", &raw.metrics),
+            peers: check.addr("peers", &raw.peers),
             store: check.addr("store", &raw.store),
-            vm_list: check.addr("vm_list", &raw.vm_list),
-            operator_keys,
-            fleet_key: check.key("fleet_key", &raw.fleet_key),
-            policy: raw.policy,
-            seed: raw.seed.unwrap_or_else(rand::random),
-            unready: Duration::from_millis(unready_ms),
-            log_decisions: raw.log.decisions,
+            grace: check.seconds("grace_s", raw.grace_s),
+            retry: RetryLimits {
+                ratio: check.positive("retry.ratio", raw.retry.ratio),
+                extra: check.positive("retry.extra", raw.retry.extra),
+                window: check.seconds("retry.window_s", raw.retry.window_s),
+            },
             log_level,
+            log_lines_per_s: raw.log.lines_per_s,
         };
         let listeners = [
-            ("listen", settings.listen),
-            ("admin", settings.admin),
-            ("peer", settings.peer),
+            ("callers", settings.callers),
+            ("ready", settings.ready),
+            ("metrics", settings.metrics),
+            ("peers", settings.peers),
         ];
         for (i, (name, addr)) in listeners.iter().enumerate() {
             for (other, earlier) in &listeners[..i] {
