Follow the store through other entries

The first entry of a region by rank watches the store, the first of a zone follows it, the rest follow that one; a source that is silent for 0.9 s or whose knowledge is old is left, the store is next. Ruled out: votes or a lease for the reader; ranks come from the registrations.

--- a/control/src/facts.rs
+++ b/control/src/facts.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use lacewingmoor_bundle::Bundle;
-use lacewingmoor_derive::value;
+use lacewingmoor_derive::{value, wire};
 
 /// Id of one registration of a target.
 pub type TargetId = Rc<str>;
@@ -54,8 +54,22 @@
     pub zone: ZoneName,
     /// Region of the entry.
     pub region: RegionName,
-    /// Address at which other entries read its view.
+    /// Address at which other entries follow it.
     pub addr: SocketAddr,
+    /// How much its VM can carry; entries with more are followed first.
+    pub capacity: u32,
+}
+
+/// A key of the store as it was written or removed, still encoded.
+#[wire]
+#[derive(Eq)]
+pub struct Record {
+    /// Key.
+    pub key: String,
+    /// Revision of the change.
+    pub revision: Revision,
+    /// Value; `None` if the key was removed.
+    pub value: Option<Vec<u8>>,
 }
 
 /// What a key of the store is about.
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -11,7 +11,7 @@
 use lacewingmoor_derive::value;
 
 use crate::facts::{Change, Fact, Node, NodeName, Revision, Subject, Target, TargetId, ZoneName};
-use crate::{Map, Now, Set};
+use crate::{Map, Now};
 
 /// Time after the return of the store during which a missing registration may still come back:
 /// targets write again within two seconds.
@@ -80,7 +80,6 @@
     nodes: Map<NodeName, (Rc<Node>, Revision)>,
     removed: Map<Subject, Revision>,
     services: Map<String, Vec<TargetId>>,
-    revision: Revision,
     grace_until: Now,
 }
 
@@ -90,11 +89,6 @@
         self.bundle.as_ref().map(|(bundle, _)| bundle)
     }
 
-    /// Returns the revision up to which every change is included.
-    pub fn revision(&self) -> Revision {
-        self.revision
-    }
-
     /// Returns a target.
     pub fn target(&self, id: &str) -> Option<&Known> {
         self.targets.get(id)
@@ -152,39 +146,9 @@
         if known.is_some_and(|known| known >= change.revision) {
             return Effect::None;
         }
-        self.revision = self.revision.max(change.revision);
         self.put(now, change)
     }
 
-    /// Notes that a source has told every change up to `revision`.
-    pub fn advance(&mut self, revision: Revision) {
-        self.revision = self.revision.max(revision);
-    }
-
-    /// Replaces the view by a complete listing that was taken at `revision`. What the listing
-    /// lacks is gone, unless it was learned from a later revision.
-    pub fn replace(&mut self, now: Now, listed: Vec<Change>, revision: Revision) -> Vec<Effect> {
-        let present: Set<Subject> = listed.iter().map(|c| c.subject.clone()).collect();
-        let mut effects: Vec<Effect> = listed.into_iter().map(|c| self.apply(now, c)).collect();
-        let missing: Vec<Subject> = self
-            .subjects()
-            .filter(|subject| !present.contains(subject))
-            .collect();
-        for subject in missing {
-            let fact = None;
-            effects.push(self.apply(
-                now,
-                Change {
-                    subject,
-                    revision,
-                    fact,
-                },
-            ));
-        }
-        self.advance(revision);
-        effects
-    }
-
     /// Drops targets whose registration has not come back in time.
     pub fn expire(&mut self, now: Now) -> Vec<Effect> {
         let expired: Vec<TargetId> = self
@@ -202,13 +166,6 @@
             .collect()
     }
 
-    fn subjects(&self) -> impl Iterator<Item = Subject> {
-        let targets = self.targets.keys().cloned().map(Subject::Target);
-        let zones = self.zones_out.keys().cloned().map(Subject::ZoneOut);
-        let nodes = self.nodes.keys().cloned().map(Subject::Node);
-        targets.chain(zones).chain(nodes)
-    }
-
     fn known_revision(&self, subject: &Subject) -> Option<Revision> {
         let present = match subject {
             Subject::Bundle => self.bundle.as_ref().map(|(_, revision)| *revision),
--- /dev/null
+++ b/entry/src/feed.rs
@@ -0,0 +1,112 @@
+//! Messages between entries: length-prefixed bincode frames over TCP.
+
+use std::time::Duration;
+
+use lacewingmoor_control::facts::Revision;
+use lacewingmoor_control::ledger::Update;
+use lacewingmoor_derive::wire;
+use quick_error::quick_error;
+use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
+
+/// Interval at which a source tells how old its knowledge is.
+pub const STATUS_INTERVAL: Duration = Duration::from_millis(300);
+
+/// Longest frame; an update holds a bundle of up to 1 MB and all registrations.
+const FRAME_BYTES_MAX: u32 = 8 << 20;
+
+/// First message of a follower.
+#[wire]
+pub struct Subscribe {
+    /// Name of the follower, for the log.
+    pub node: String,
+    /// The follower has every change up to this revision.
+    pub after: Revision,
+}
+
+/// Message of a source.
+#[wire]
+pub enum Message {
+    /// Changes.
+    Update(Update),
+    /// State of the source.
+    Status(Status),
+}
+
+/// State of a source.
+#[wire]
+pub struct Status {
+    /// Time since the store confirmed what the source knows, in milliseconds.
+    pub age_ms: u64,
+    /// Entry that follows the store itself and from which the knowledge comes.
+    pub origin: String,
+}
+
+quick_error! {
+    /// Why a feed ended.
+    #[derive(Debug)]
+    pub enum Error {
+        /// Reading or writing failed.
+        Io(step: &'static str, cause: std::io::Error) {
+            display("{step}: {cause}")
+            source(cause)
+        }
+        /// Nothing came in time.
+        Silent(step: &'static str) {
+            display("{step}: nothing came in time")
+        }
+        /// A frame that is not of the protocol.
+        Malformed(why: String) {
+            display("malformed frame: {why}")
+        }
+        /// The source has lost the store.
+        Old(age: Duration) {
+            display("source was last confirmed {} ms ago", age.as_millis())
+        }
+        /// The source has its knowledge from this entry.
+        Circular {
+            display("source follows this entry")
+        }
+    }
+}
+
+/// Writes one frame.
+///
+/// # Errors
+///
+/// Returns the error of the connection.
+pub async fn write<T: bincode::Encode>(
+    stream: &mut (impl AsyncWrite + Unpin),
+    message: &T,
+) -> Result<(), Error> {
+    let bytes = bincode::encode_to_vec(message, bincode::config::standard())
+        .map_err(|e| Error::Malformed(e.to_string()))?;
+    let mut frame = Vec::with_capacity(4 + bytes.len());
+    frame.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
+    frame.extend_from_slice(&bytes);
+    stream
+        .write_all(&frame)
+        .await
+        .map_err(|e| Error::Io("write", e))
+}
+
+/// Reads one frame.
+///
+/// # Errors
+///
+/// Returns why there is none.
+pub async fn read<T: bincode::Decode<()>>(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> Result<T, Error> {
+    let length = stream.read_u32().await.map_err(|e| Error::Io("read", e))?;
+    if length > FRAME_BYTES_MAX {
+        return Err(Error::Malformed(format!("{length} bytes")));
+    }
+    let mut bytes = vec![0; length as usize];
+    stream
+        .read_exact(&mut bytes)
+        .await
+        .map_err(|e| Error::Io("read", e))?;
+    let (message, _) = bincode::decode_from_slice(&bytes, bincode::config::standard())
+        .map_err(|e| Error::Malformed(e.to_string()))?;
+    Ok(message)
+}
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -1,127 +1,223 @@
-//! Follows the store: a listing, then watches.
+//! Keeps the view up to date from the store or from another entry.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use lacewingmoor_control::facts::{Change, Revision};
+use lacewingmoor_control::Now;
+use lacewingmoor_control::ledger::Update;
+use lacewingmoor_control::source::{Source, Sources};
 use lacewingmoor_control::view::Effect;
-use lacewingmoor_platform::registry::{self, FOLLOWED_PREFIXES};
-use lacewingmoor_platform::store::{self, Item};
+use lacewingmoor_platform::registry::{self, FOLLOWED_PREFIX};
+use lacewingmoor_platform::store;
+use quick_error::quick_error;
 use rand::RngExt as _;
 use slog::{info, warn};
 
 use crate::node::Node;
-use crate::store::{Client, Error};
+use crate::store::{Client, Error as StoreError};
+use crate::{feed, peer};
 
-/// Longest wait of one watch. A connection that went silent is noticed this much later.
-const WATCH_WAIT: Duration = Duration::from_millis(2500);
+/// Part of the time within which changes must be in force that one watch waits. A store that fell
+/// silent is noticed after this and the time-out of the answer, so that there is still time to
+/// learn of a change from another source.
+const WATCH_WAIT_SHARE: f64 = 0.35;
 
 /// Pause after a watch that brought changes, so that a series of changes costs few calls.
-const BATCH_PAUSE: Duration = Duration::from_millis(250);
+const BATCH_PAUSE: Duration = Duration::from_millis(200);
 
-/// Pause after a failed call; up to twice as long at random, so that entries do not call at once.
-const RETRY_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before the next source is tried; up to twice as long at random, so that entries do not
+/// call at once.
+const SWITCH_PAUSE: Duration = Duration::from_millis(20);
 
-/// Follows the store for as long as the process runs.
+/// Time without confirmation after which registrations may have lapsed with the store.
+const OUTAGE_MIN: Duration = Duration::from_millis(2500);
+
+/// Interval at which an entry that follows the store looks for an entry to follow instead.
+const BETTER_CHECK: Duration = Duration::from_secs(2);
+
+quick_error! {
+    /// Why a source is not followed any more.
+    #[derive(Debug)]
+    pub enum Error {
+        /// The store failed.
+        Store(cause: StoreError) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// An entry failed as a source.
+        Feed(cause: feed::Error) {
+            display("{cause}")
+            source(cause)
+            from()
+        }
+        /// An entry of better rank can be followed.
+        BetterSource {
+            display("an entry of better rank can be followed")
+        }
+        /// The entry is not registered any more.
+        NotRegistered {
+            display("entry is not registered")
+        }
+    }
+}
+
+/// Follows one source after the other for as long as the process runs.
 pub async fn follow(node: Rc<Node>) {
-    let mut client = Client::new(&node);
-    let mut reached = true;
+    let mut sources = Sources::default();
+    loop {
+        let source = {
+            let view = node.view.borrow();
+            sources.choose(node.now(), &view, &node.settings.node, &node.here)
+        };
+        info!(
+            node.log, "source";
+            "source" => ?source, "revision" => node.ledger.borrow().revision(),
+            "age_ms" => node.knowledge_age().as_millis() as u64,
+        );
+        let end = match &source {
+            Source::Store => follow_store(&node, &sources).await,
+            Source::Peer(name) => follow_peer(&node, name).await,
+        };
+        match end {
+            Error::BetterSource => continue,
+            error => warn!(node.log, "source_lost"; "source" => ?source, "cause" => %error),
+        }
+        sources.failed(node.now(), &source);
+        let factor = 1.0 + node.rng.borrow_mut().random::<f64>();
+        tokio::time::sleep(SWITCH_PAUSE.mul_f64(factor)).await;
+    }
+}
+
+async fn follow_peer(node: &Rc<Node>, name: &str) -> Error {
+    let addr = node.view.borrow().node(name).map(|peer| peer.addr);
+    match addr {
+        Some(addr) => peer::follow(node, addr).await.into(),
+        None => Error::NotRegistered,
+    }
+}
+
+/// Follows the store until it fails.
+async fn follow_store(node: &Rc<Node>, sources: &Sources) -> Error {
+    let mut client = Client::new(node);
+    let mut better_check_at = node.now() + BETTER_CHECK;
     loop {
-        let result = match node.view.borrow().revision() {
+        let step = match node.ledger.borrow().revision() {
             0 => Step::List,
             revision => Step::Watch(revision),
         };
-        let result = match result {
-            Step::List => list(&node, &mut client).await,
-            Step::Watch(revision) => watch(&node, &mut client, revision).await,
+        let read = match step {
+            Step::List => list(node, &mut client).await,
+            Step::Watch(revision) => watch(node, &mut client, revision).await,
         };
-        let result = match result {
-            Err(Error::Answer(store::Error::Compacted)) => {
-                info!(node.log, "store_history_gone"; "revision" => node.view.borrow().revision());
-                list(&node, &mut client).await
-            }
-            other => other,
-        };
-        match result {
-            Ok(changed) => {
-                if !reached {
-                    reached = true;
-                    info!(node.log, "store_regained"; "revision" => node.view.borrow().revision());
-                    node.view.borrow_mut().store_returned(node.now());
-                }
-                if changed {
-                    tokio::time::sleep(BATCH_PAUSE).await;
+        let (read_at, update) = match read {
+            Ok(read) => read,
+            Err(StoreError::Answer(store::Error::Compacted)) => {
+                info!(node.log, "store_history_gone"; "revision" => node.ledger.borrow().revision());
+                match list(node, &mut client).await {
+                    Ok(read) => read,
+                    Err(error) => return error.into(),
                 }
             }
-            Err(error) => {
-                if reached {
-                    reached = false;
-                    warn!(node.log, "store_lost"; "cause" => %error);
-                }
-                let factor = 1.0 + node.rng.borrow_mut().random::<f64>();
-                tokio::time::sleep(RETRY_PAUSE.mul_f64(factor)).await;
+            Err(error) => return error.into(),
+        };
+        let changed = !update.records.is_empty();
+        node.follows_store(read_at);
+        learn(node, update);
+        if node.now() >= better_check_at {
+            better_check_at = node.now() + BETTER_CHECK;
+            let view = node.view.borrow();
+            let own = &node.settings.node;
+            if sources.better(&view, own, &node.here).is_some() {
+                return Error::BetterSource;
             }
         }
+        if changed {
+            tokio::time::sleep(BATCH_PAUSE).await;
+        }
     }
 }
 
 enum Step {
     List,
-    Watch(Revision),
+    Watch(u64),
 }
 
-/// Reads everything that entries follow. Returns true if anything changed.
-async fn list(node: &Rc<Node>, client: &mut Client) -> Result<bool, Error> {
-    let mut items = Vec::new();
-    let mut first_revision = None;
-    for prefix in FOLLOWED_PREFIXES {
-        let mut after: Option<String> = None;
-        loop {
-            let request = store::list(&client.host(), prefix, after.as_deref());
-            let (status, body) = client.call("list", request, Duration::ZERO).await?;
-            let page = store::decode_page(status, &body)?;
-            first_revision.get_or_insert(page.revision);
-            after = page.items.last().map(|item| item.key.clone());
-            items.extend(page.items);
-            if !page.more {
-                break;
-            }
+/// Reads all keys. Returns when the first page was asked for, and the records.
+async fn list(node: &Rc<Node>, client: &mut Client) -> Result<(Now, Update), StoreError> {
+    let asked_at = node.now();
+    let mut records = Vec::new();
+    let mut revision = None;
+    let mut after: Option<String> = None;
+    loop {
+        let request = store::list(&client.host(), FOLLOWED_PREFIX, after.as_deref());
+        let (status, body) = client.call("list", request, Duration::ZERO).await?;
+        let page = store::decode_page(status, &body)?;
+        // Later pages may hold later changes; watching from the first page repeats them.
+        revision.get_or_insert(page.revision);
+        after = page.records.last().map(|record| record.key.clone());
+        records.extend(page.records);
+        if !page.more {
+            break;
         }
     }
-    let changes = decode(node, &items);
-    let effects = {
-        let mut view = node.view.borrow_mut();
-        // Later pages may hold later changes; watching from the first page repeats them.
-        view.replace(node.now(), changes, first_revision.unwrap_or(0))
+    let update = Update {
+        revision: revision.unwrap_or(0),
+        whole: true,
+        records,
     };
-    log_effects(node, &effects);
-    Ok(true)
+    Ok((asked_at, update))
 }
 
-/// Waits for changes. Returns true if anything changed.
-async fn watch(node: &Rc<Node>, client: &mut Client, after: Revision) -> Result<bool, Error> {
-    let request = store::watch(&client.host(), "", after, WATCH_WAIT);
-    let (status, body) = client.call("watch", request, WATCH_WAIT).await?;
+/// Waits for changes. Returns when the answer came, and the changes.
+async fn watch(
+    node: &Rc<Node>,
+    client: &mut Client,
+    after: u64,
+) -> Result<(Now, Update), StoreError> {
+    let wait = node.settings.apply.mul_f64(WATCH_WAIT_SHARE);
+    let request = store::watch(&client.host(), FOLLOWED_PREFIX, after, wait);
+    let (status, body) = client.call("watch", request, wait).await?;
     let events = store::decode_events(status, &body)?;
-    let changes = decode(node, &events.items);
-    let changed = !events.items.is_empty();
+    let update = Update {
+        revision: events.revision,
+        whole: false,
+        records: events.records,
+    };
+    Ok((node.now(), update))
+}
+
+/// Takes an update over into ledger and view, and passes it on to followers.
+pub fn learn(node: &Rc<Node>, update: Update) {
+    let news = node.ledger.borrow_mut().apply(update);
+    let now = node.now();
     let effects: Vec<Effect> = {
         let mut view = node.view.borrow_mut();
-        let now = node.now();
-        let effects = changes.into_iter().map(|c| view.apply(now, c)).collect();
-        view.advance(events.revision);
-        effects
+        news.iter()
+            .filter_map(|record| registry::decode(record, &node.settings.regions))
+            .map(|change| view.apply(now, change))
+            .collect()
     };
     log_effects(node, &effects);
-    Ok(changed)
+    if !news.is_empty() {
+        node.tell_followers();
+    }
 }
 
-fn decode(node: &Node, items: &[Item]) -> Vec<Change> {
-    let regions = &node.settings.regions;
-    items
-        .iter()
-        .filter_map(|item| registry::decode(item, regions))
-        .collect()
+/// Notes that what is known was confirmed at `confirmed_at`.
+pub fn confirmed(node: &Node, confirmed_at: Now) {
+    let before = node.confirmed_at.get();
+    if confirmed_at <= before {
+        return;
+    }
+    node.confirmed_at.set(confirmed_at);
+    if before > Now::ZERO && confirmed_at - before > OUTAGE_MIN {
+        info!(
+            node.log, "knowledge_regained";
+            "gap_ms" => (confirmed_at - before).as_millis() as u64,
+        );
+        node.view.borrow_mut().store_returned(node.now());
+    }
 }
 
 /// Logs what changed and passes on what it means for the observations of targets.
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -2,12 +2,13 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use lacewingmoor_bundle::Bundle;
 use lacewingmoor_control::book::Book;
 use lacewingmoor_control::budget::RetryBudget;
 use lacewingmoor_control::facts::TargetId;
+use lacewingmoor_control::ledger::Ledger;
 use lacewingmoor_control::place::{Place, WorkTime};
 use lacewingmoor_control::split::Splitter;
 use lacewingmoor_control::stop::{Phase, Stop};
@@ -18,6 +19,7 @@
 use tokio::sync::watch;
 
 use crate::connection::Pool;
+use crate::follow;
 use crate::metrics::Traffic;
 use crate::settings::Settings;
 
@@ -43,6 +45,12 @@
     pub traffic: Traffic,
     /// What is believed about the fleet.
     pub view: RefCell<View>,
+    /// Keys of the store, for entries that follow this one.
+    pub ledger: RefCell<Ledger>,
+    /// When the store last confirmed what is known.
+    pub confirmed_at: Cell<Now>,
+    /// Entry that follows the store itself and from which the knowledge comes.
+    pub origin: RefCell<String>,
     /// Own observations of targets.
     pub books: RefCell<Map<TargetId, Book>>,
     /// Own observations of services.
@@ -58,6 +66,7 @@
     started_at: Instant,
     stop: RefCell<Stop>,
     leaving: watch::Sender<bool>,
+    news: watch::Sender<()>,
 }
 
 impl Node {
@@ -72,6 +81,9 @@
             log,
             traffic: Traffic::new(),
             view: RefCell::default(),
+            ledger: RefCell::default(),
+            confirmed_at: Cell::default(),
+            origin: RefCell::default(),
             books: RefCell::default(),
             services: RefCell::default(),
             splits: RefCell::default(),
@@ -81,6 +93,7 @@
             started_at: Instant::now(),
             stop: RefCell::default(),
             leaving: watch::Sender::new(false),
+            news: watch::Sender::new(()),
             settings,
         })
     }
@@ -121,6 +134,35 @@
         self.phase() == Phase::Running && self.view.borrow().bundle().is_some()
     }
 
+    /// Returns the time since the store confirmed what is known.
+    pub fn knowledge_age(&self) -> Duration {
+        self.now().saturating_sub(self.confirmed_at.get())
+    }
+
+    /// Notes that the store itself confirmed what is known.
+    pub fn follows_store(&self, confirmed_at: Now) {
+        if *self.origin.borrow() != self.settings.node {
+            self.origin.replace(self.settings.node.clone());
+        }
+        follow::confirmed(self, confirmed_at);
+    }
+
+    /// Notes that another entry, whose knowledge comes from `origin`, confirmed what is known.
+    pub fn follows_peer(&self, origin: String, confirmed_at: Now) {
+        self.origin.replace(origin);
+        follow::confirmed(self, confirmed_at);
+    }
+
+    /// Wakes the feeds of followers.
+    pub fn tell_followers(&self) {
+        self.news.send_replace(());
+    }
+
+    /// Returns a receiver that tells of news for followers.
+    pub fn news(&self) -> watch::Receiver<()> {
+        self.news.subscribe()
+    }
+
     /// Calls `f` with the observations of a target.
     pub fn with_book<T>(&self, id: &TargetId, f: impl FnOnce(&mut Book) -> T) -> T {
         f(self.books.borrow_mut().entry(id.clone()).or_default())
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -14,7 +14,7 @@
 use crate::error::Error;
 use crate::node::Node;
 use crate::settings::Settings;
-use crate::{admin, caller, follow, log, metrics, register};
+use crate::{admin, caller, follow, log, metrics, peer, register};
 
 /// Interval at which the end of a stop is checked.
 const STOP_CHECK: Duration = Duration::from_millis(50);
@@ -52,6 +52,7 @@
     let node = Node::new(settings, log);
     let callers = listen("callers", node.settings.callers).await?;
     let ready = listen("readiness checks", node.settings.ready).await?;
+    let peers = listen("other entries", node.settings.peers).await?;
     let metrics_listener = listen("metrics", node.settings.metrics).await?;
     info!(
         node.log, "start";
@@ -61,6 +62,7 @@
     tokio::task::spawn_local(caller::accept(node.clone(), callers));
     tokio::task::spawn_local(admin::serve(node.clone(), ready, handle.clone()));
     tokio::task::spawn_local(admin::serve(node.clone(), metrics_listener, handle.clone()));
+    tokio::task::spawn_local(peer::serve(node.clone(), peers));
     tokio::task::spawn_local(follow::follow(node.clone()));
     let registration = tokio::task::spawn_local(register::keep(node.clone()));
     tokio::task::spawn_local(housekeeping(node.clone()));
--- a/entry/src/register.rs
+++ b/entry/src/register.rs
@@ -13,10 +13,10 @@
 use crate::store::{Client, Error};
 
 /// Time after which the registration of an entry that is gone ends.
-const LEASE_TTL: Duration = Duration::from_secs(8);
+const LEASE_TTL: Duration = Duration::from_secs(10);
 
 /// Interval of renewals: two may fail before the lease ends.
-const RENEW_INTERVAL: Duration = Duration::from_millis(2500);
+const RENEW_INTERVAL: Duration = Duration::from_millis(3000);
 
 /// Keeps the registration until the process leaves.
 pub async fn keep(node: Rc<Node>) {
@@ -64,6 +64,7 @@
         zone: node.here.zone.clone(),
         region: node.here.region.clone(),
         addr: node.settings.peers,
+        capacity: node.settings.capacity,
     };
     let key = registry::node_key(&node.settings.node);
     let value = registry::encode_node(&registration);
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -14,6 +14,9 @@
 /// Lines a second that are logged by default. At 200 bytes a line this is 40 KB/s.
 const LOG_LINES_PER_S_DEFAULT: u32 = 200;
 
+/// Bandwidth above which more does not help to pass bundles on.
+const LINK_ENOUGH_MBIT_S: f64 = 200.0;
+
 /// Settings as written in the file. Values are strings so that all errors are reported at once.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -38,12 +41,26 @@
     pub store: String,
     /// Time between the signal to stop and the kill, in seconds.
     pub grace_s: f64,
+    /// Time within which changes must be in force, in milliseconds.
+    pub apply_ms: u64,
+    /// What the VM can carry.
+    pub machine: RawMachine,
     /// Limits of repeated sends.
     pub retry: RawRetry,
     /// Log settings.
     pub log: RawLog,
 }
 
+/// What the VM can carry, as written in the file.
+#[derive(Clone, Debug, Default, Deserialize)]
+#[serde(deny_unknown_fields, default)]
+pub struct RawMachine {
+    /// Share of a core.
+    pub cpu_share: f64,
+    /// Bandwidth in megabits a second.
+    pub link_mbit_s: f64,
+}
+
 /// Limits of repeated sends as written in the file.
 #[derive(Clone, Debug, Default, Deserialize)]
 #[serde(deny_unknown_fields, default)]
@@ -98,6 +115,10 @@
     pub store: SocketAddr,
     /// Time between the signal to stop and the kill.
     pub grace: Duration,
+    /// Time within which changes must be in force.
+    pub apply: Duration,
+    /// Rank of the VM as a source for other entries; greater is better.
+    pub capacity: u32,
     /// Limits of repeated sends.
     pub retry: RetryLimits,
     /// Lowest level that is logged.
@@ -130,6 +151,11 @@
     }
 }
 
+/// Ranks a VM by the time that it takes to pass a bundle on: processor and link count alike.
+fn capacity(cpu_share: f64, link_mbit_s: f64) -> u32 {
+    (cpu_share * link_mbit_s.min(LINK_ENOUGH_MBIT_S) * 100.0) as u32
+}
+
 struct Checker {
     errors: Vec<String>,
 }
@@ -174,6 +200,13 @@
         }
     }
 
+    fn millis(&mut self, field: &str, value: u64) -> Duration {
+        if value == 0 {
+            self.add(format!("{field}: is missing or 0"));
+        }
+        Duration::from_millis(value)
+    }
+
     fn positive(&mut self, field: &str, value: f64) -> f64 {
         if !value.is_finite() || value < 0.0 {
             self.add(format!("{field}: {value} is not a number of 0 or more"));
@@ -208,6 +241,11 @@
             peers: check.addr("peers", &raw.peers),
             store: check.addr("store", &raw.store),
             grace: check.seconds("grace_s", raw.grace_s),
+            apply: check.millis("apply_ms", raw.apply_ms),
+            capacity: capacity(
+                check.positive("machine.cpu_share", raw.machine.cpu_share),
+                check.positive("machine.link_mbit_s", raw.machine.link_mbit_s),
+            ),
             retry: RetryLimits {
                 ratio: check.positive("retry.ratio", raw.retry.ratio),
                 extra: check.positive("retry.extra", raw.retry.extra),
--- a/entry/src/store.rs
+++ b/entry/src/store.rs
@@ -15,10 +15,10 @@
 use crate::node::Node;
 
 /// Time to open a connection to the store.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for an answer beyond the wait that the call asks for.
-pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(1500);
+pub const ANSWER_TIMEOUT: Duration = Duration::from_millis(600);
 
 /// Longest answer; a page has at most about 1 MB.
 const BODY_BYTES_MAX: usize = 4 << 20;
