Choose a source without an own registration; first listing from recent state

The rank is computed from the own settings, the first listing may be seconds old (its newest record is the revision to watch from), and entries wait 0.6 s before they choose.

--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -14,7 +14,6 @@
 use lacewingmoor_derive::value;
 
 use crate::facts::{Node, NodeName};
-use crate::place::Place;
 use crate::view::View;
 use crate::{Map, Now};
 
@@ -53,45 +52,40 @@
         self.cooldown_until.insert(source.clone(), now + cooldown);
     }
 
-    /// Chooses the source to follow next, for the entry `own` at `here`.
-    pub fn choose(&mut self, now: Now, view: &View, own: &str, here: &Place) -> Source {
+    /// Chooses the source to follow next, for the entry `own`.
+    pub fn choose(&mut self, now: Now, view: &View, own: &Node) -> Source {
         self.cooldown_until.retain(|_, until| *until > now);
-        self.better(view, own, here)
+        self.better(view, own)
             .or_else(|| self.usable(Source::Store))
-            .or_else(|| self.any_peer(view, own, here))
+            .or_else(|| self.any_peer(view, own))
             .unwrap_or(Source::Store)
     }
 
     /// Returns an entry of better rank to follow, if there is one.
-    pub fn better(&self, view: &View, own: &str, here: &Place) -> Option<Source> {
-        let ranked = ranked(view);
-        let before = |same: &dyn Fn(&Node) -> bool| -> Vec<NodeName> {
-            ranked
-                .iter()
-                .filter(|node| same(node) || &*node.name == own)
-                .take_while(|node| &*node.name != own)
-                .take(BETTER_TRIED)
-                .map(|node| node.name.clone())
-                .collect()
-        };
-        // Without an own registration in the view there is no rank to compare with.
-        view.node(own)?;
-        let zone = before(&|node| node.zone == here.zone);
-        let region = match zone.is_empty() {
-            true => before(&|node| node.region == here.region),
-            false => Vec::new(),
+    pub fn better(&self, view: &View, own: &Node) -> Option<Source> {
+        let better: Vec<&Node> = ranked(view)
+            .into_iter()
+            .take_while(|node| rank(node) < rank(own))
+            .collect();
+        let in_zone = better.iter().filter(|node| node.zone == own.zone);
+        let in_region = better
+            .iter()
+            .filter(|node| node.region == own.region && node.zone != own.zone);
+        let first = match in_zone.clone().next() {
+            Some(_) => in_zone.take(BETTER_TRIED).collect::<Vec<_>>(),
+            None => in_region.take(BETTER_TRIED).collect(),
         };
-        zone.into_iter()
-            .chain(region)
-            .find_map(|name| self.usable(Source::Peer(name)))
+        first
+            .into_iter()
+            .find_map(|node| self.usable(Source::Peer(node.name.clone())))
     }
 
-    fn any_peer(&self, view: &View, own: &str, here: &Place) -> Option<Source> {
+    fn any_peer(&self, view: &View, own: &Node) -> Option<Source> {
         let mut nodes = ranked(view);
-        nodes.sort_by_key(|node| (node.region != here.region, node.zone != here.zone));
+        nodes.sort_by_key(|node| (node.region != own.region, node.zone != own.zone));
         nodes
             .iter()
-            .filter(|node| &*node.name != own)
+            .filter(|node| node.name != own.name)
             .find_map(|node| self.usable(Source::Peer(node.name.clone())))
     }
 
@@ -100,12 +94,14 @@
     }
 }
 
+/// Returns the rank of an entry; less is better.
+fn rank(node: &Node) -> (Reverse<u32>, &NodeName) {
+    (Reverse(node.capacity), &node.name)
+}
+
 /// Returns the entries by rank.
 fn ranked(view: &View) -> Vec<&Node> {
     let mut nodes: Vec<&Node> = view.nodes().map(|node| &**node).collect();
-    nodes.sort_by(|a, b| {
-        let rank = |node: &Node| Reverse(node.capacity);
-        rank(a).cmp(&rank(b)).then_with(|| a.name.cmp(&b.name))
-    });
+    nodes.sort_by(|a, b| rank(a).cmp(&rank(b)));
     nodes
 }
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -4,11 +4,12 @@
 use std::time::Duration;
 
 use lacewingmoor_control::Now;
+use lacewingmoor_control::facts::{Record, Revision};
 use lacewingmoor_control::ledger::Update;
 use lacewingmoor_control::source::{Source, Sources};
 use lacewingmoor_control::view::Effect;
 use lacewingmoor_platform::registry::{self, FOLLOWED_PREFIX};
-use lacewingmoor_platform::store;
+use lacewingmoor_platform::store::{self, Currency};
 use quick_error::quick_error;
 use rand::RngExt as _;
 use slog::{info, warn};
@@ -22,8 +23,13 @@
 /// learn of a change from another source.
 const WATCH_WAIT_SHARE: f64 = 0.35;
 
-/// Pause after a watch that brought changes, so that a series of changes costs few calls.
-const BATCH_PAUSE: Duration = Duration::from_millis(200);
+/// Pause after a watch that brought changes, as a part of the time within which changes must be in
+/// force, so that a series of changes costs few calls.
+const BATCH_PAUSE_SHARE: f64 = 0.12;
+
+/// Pause after the first listing of a process, so that entries that start together have registered
+/// before they choose whom to follow.
+const START_PAUSE: Duration = Duration::from_millis(600);
 
 /// Pause before the next source is tried; up to twice as long at random, so that entries do not
 /// call at once.
@@ -68,7 +74,7 @@
     loop {
         let source = {
             let view = node.view.borrow();
-            sources.choose(node.now(), &view, &node.settings.node, &node.here)
+            sources.choose(node.now(), &view, &node.own)
         };
         info!(
             node.log, "source";
@@ -100,21 +106,23 @@
 /// Follows the store until it fails.
 async fn follow_store(node: &Rc<Node>, sources: &Sources) -> Error {
     let mut client = Client::new(node);
-    let mut better_check_at = node.now() + BETTER_CHECK;
+    let mut starting = node.ledger.borrow().revision() == 0;
+    // Entries that start together know of each other once all have registered.
+    let mut better_check_at = node.now();
     loop {
         let step = match node.ledger.borrow().revision() {
             0 => Step::List,
             revision => Step::Watch(revision),
         };
         let read = match step {
-            Step::List => list(node, &mut client).await,
+            Step::List => list(node, &mut client, Currency::Recent).await,
             Step::Watch(revision) => watch(node, &mut client, revision).await,
         };
         let (read_at, update) = match read {
             Ok(read) => read,
             Err(StoreError::Answer(store::Error::Compacted)) => {
                 info!(node.log, "store_history_gone"; "revision" => node.ledger.borrow().revision());
-                match list(node, &mut client).await {
+                match list(node, &mut client, Currency::Current).await {
                     Ok(read) => read,
                     Err(error) => return error.into(),
                 }
@@ -126,14 +134,15 @@
         learn(node, update);
         if node.now() >= better_check_at {
             better_check_at = node.now() + BETTER_CHECK;
-            let view = node.view.borrow();
-            let own = &node.settings.node;
-            if sources.better(&view, own, &node.here).is_some() {
+            if sources.better(&node.view.borrow(), &node.own).is_some() {
                 return Error::BetterSource;
             }
         }
-        if changed {
-            tokio::time::sleep(BATCH_PAUSE).await;
+        if starting {
+            starting = false;
+            tokio::time::sleep(START_PAUSE).await;
+        } else if changed {
+            tokio::time::sleep(node.settings.apply.mul_f64(BATCH_PAUSE_SHARE)).await;
         }
     }
 }
@@ -144,17 +153,27 @@
 }
 
 /// Reads all keys. Returns when the first page was asked for, and the records.
-async fn list(node: &Rc<Node>, client: &mut Client) -> Result<(Now, Update), StoreError> {
+async fn list(
+    node: &Rc<Node>,
+    client: &mut Client,
+    currency: Currency,
+) -> Result<(Now, Update), StoreError> {
     let asked_at = node.now();
     let mut records = Vec::new();
     let mut revision = None;
     let mut after: Option<String> = None;
     loop {
-        let request = store::list(&client.host(), FOLLOWED_PREFIX, after.as_deref());
+        let request = store::list(&client.host(), FOLLOWED_PREFIX, after.as_deref(), currency);
         let (status, body) = client.call("list", request, Duration::ZERO).await?;
         let page = store::decode_page(status, &body)?;
-        // Later pages may hold later changes; watching from the first page repeats them.
-        revision.get_or_insert(page.revision);
+        let page_revision = match currency {
+            // Later pages may hold later changes; watching from the first page repeats them.
+            Currency::Current => page.revision,
+            // The page may be older than the revision that it names, but has every change up to
+            // the newest that it shows.
+            Currency::Recent => newest(&page.records),
+        };
+        revision = Some(revision.map_or(page_revision, |r: Revision| r.min(page_revision)));
         after = page.records.last().map(|record| record.key.clone());
         records.extend(page.records);
         if !page.more {
@@ -163,12 +182,16 @@
     }
     let update = Update {
         revision: revision.unwrap_or(0),
-        whole: true,
+        whole: currency == Currency::Current,
         records,
     };
     Ok((asked_at, update))
 }
 
+fn newest(records: &[Record]) -> Revision {
+    records.iter().map(|r| r.revision).max().unwrap_or(0)
+}
+
 /// Waits for changes. Returns when the answer came, and the changes.
 async fn watch(
     node: &Rc<Node>,
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -7,7 +7,7 @@
 use lacewingmoor_bundle::Bundle;
 use lacewingmoor_control::book::Book;
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget};
-use lacewingmoor_control::facts::TargetId;
+use lacewingmoor_control::facts::{self, TargetId};
 use lacewingmoor_control::ledger::Ledger;
 use lacewingmoor_control::place::{Place, WorkTime};
 use lacewingmoor_control::split::Splitter;
@@ -44,6 +44,8 @@
     pub settings: Settings,
     /// Where the entry stands.
     pub here: Place,
+    /// The entry as others know it.
+    pub own: facts::Node,
     /// Logger.
     pub log: Logger,
     /// Metrics of the request path.
@@ -86,6 +88,13 @@
             region: settings.region.as_str().into(),
         };
         Rc::new(Self {
+            own: facts::Node {
+                name: settings.node.as_str().into(),
+                zone: here.zone.clone(),
+                region: here.region.clone(),
+                addr: settings.peers,
+                capacity: settings.capacity,
+            },
             here,
             log,
             traffic: Traffic::new(),
--- a/entry/src/register.rs
+++ b/entry/src/register.rs
@@ -3,7 +3,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lacewingmoor_control::facts;
 use lacewingmoor_control::stop::Phase;
 use lacewingmoor_platform::registry;
 use lacewingmoor_platform::store::{self, LeaseId};
@@ -13,10 +12,10 @@
 use crate::store::{Client, Error};
 
 /// Time after which the registration of an entry that is gone ends.
-const LEASE_TTL: Duration = Duration::from_secs(10);
+const LEASE_TTL: Duration = Duration::from_secs(15);
 
 /// Interval of renewals: two may fail before the lease ends.
-const RENEW_INTERVAL: Duration = Duration::from_millis(3000);
+const RENEW_INTERVAL: Duration = Duration::from_millis(4500);
 
 /// Keeps the registration until the process leaves.
 pub async fn keep(node: Rc<Node>) {
@@ -59,15 +58,8 @@
     let request = store::create_lease(&client.host(), LEASE_TTL);
     let (status, body) = client.call("lease", request, Duration::ZERO).await?;
     let lease = store::decode_lease(status, &body)?;
-    let registration = facts::Node {
-        name: node.settings.node.as_str().into(),
-        zone: node.here.zone.clone(),
-        region: node.here.region.clone(),
-        addr: node.settings.peers,
-        capacity: node.settings.capacity,
-    };
     let key = registry::node_key(&node.settings.node);
-    let value = registry::encode_node(&registration);
+    let value = registry::encode_node(&node.own);
     let request = store::put(&client.host(), &key, &value, lease);
     let (status, _) = client.call("put", request, Duration::ZERO).await?;
     store::decode_done(status)?;
