--- a/control/src/attempt.rs
+++ b/control/src/attempt.rs
@@ -1,8 +1,15 @@
-//! What follows an attempt at a target.
+//! What follows an attempt at a target, and when a second one is started beside it.
+
+use std::time::Duration;
 
 use lacewingmoor_bundle::Repeat;
 use lacewingmoor_derive::tag;
 
+use crate::Now;
+
+/// Multiple of the expected time after which a target is taken to have fallen silent.
+const SILENT: f64 = 2.5;
+
 /// How an attempt ended.
 #[tag]
 pub enum Outcome {
@@ -54,16 +61,24 @@
         self.sent += 1;
     }
 
+    /// Notes how a send ended.
+    pub fn ended(&mut self, outcome: Outcome) {
+        match outcome {
+            // It reached no target.
+            Outcome::NotSent => self.sent = self.sent.saturating_sub(1),
+            Outcome::Failed | Outcome::Broken => self.may_have_run = true,
+            Outcome::NotRun | Outcome::Misdirected => {}
+        }
+    }
+
     /// Decides what follows `outcome`. `budget` is asked only if another attempt would be right.
     pub fn next(
-        &mut self,
+        &self,
         outcome: Outcome,
         repeat: Repeat,
         attempts_max: u32,
         budget: impl FnOnce() -> bool,
     ) -> Next {
-        let ran = matches!(outcome, Outcome::Failed | Outcome::Broken);
-        self.may_have_run |= ran;
         let allowed = match repeat {
             Repeat::Idempotent => true,
             Repeat::Once => !self.may_have_run,
@@ -80,3 +95,12 @@
         }
     }
 }
+
+/// Returns when an idempotent request that was sent at `sent_at` is sent to a second target as
+/// well.
+///
+/// Load pattern: targets that crash without a sign or hang. An answer that is merely late is left
+/// alone, because a second run takes a slot that other requests wait for.
+pub fn hedge_at(sent_at: Now, expected: Duration) -> Now {
+    sent_at + expected.mul_f64(SILENT)
+}
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -10,21 +10,21 @@
 use http::{HeaderMap, Request, Response, StatusCode};
 use http_body_util::{BodyExt as _, LengthLimitError, Limited};
 use hyper::body::{Body as _, Incoming};
-use lacewingmoor_bundle::{Bundle, Route, Service};
+use lacewingmoor_bundle::{Bundle, Repeat, Route, Service};
 use lacewingmoor_control::Now;
 use lacewingmoor_control::admit::Waiting;
-use lacewingmoor_control::attempt::{Attempts, Next};
+use lacewingmoor_control::attempt::{Attempts, Next, hedge_at};
 use lacewingmoor_control::facts::TargetId;
 use lacewingmoor_control::place::Offer;
 use lacewingmoor_control::budget::{ProbeBudget, Reason, RetryBudget};
 use lacewingmoor_control::place::WorkTime;
 use lacewingmoor_platform::headers;
-use slog::info;
+use slog::{debug, info};
 
 use crate::answer::{AnswerBody, Own, remove_hop_by_hop};
 use crate::metrics::request_ended;
 use crate::node::{Node, ServiceState};
-use crate::place::Seeking;
+use crate::place::{Placed, Seeking};
 use crate::send::{Failed, Outgoing};
 
 /// Time that a caller waits if it does not say.
@@ -241,22 +241,10 @@
                 self.node.traffic.place.record(waited);
             }
             let id = placed.target.id.clone();
-            self.last_sent = Some(Sent {
-                target: id.clone(),
-                offer: placed.offer.clone(),
-                at: self.node.now(),
-            });
-            let failed = match outgoing.send(self.node, placed).await {
-                Ok(response) => {
-                    self.attempts.send();
-                    return Ok(response);
-                }
+            let failed = match self.send(outgoing, &mut seeking, placed).await {
+                Ok(response) => return Ok(response),
                 Err(failed) => failed,
             };
-            if failed.outcome != lacewingmoor_control::attempt::Outcome::NotSent {
-                self.attempts.send();
-            }
-            seeking.tried.push(id.clone());
             let next = self.next(&failed, seeking.route(), seeking.service);
             info!(
                 self.node.log, "attempt_failed";
@@ -290,14 +278,102 @@
         }
     }
 
-    fn next(&mut self, failed: &Failed, route: &Route, service: &Service) -> Next {
-        let now = self.node.now();
-        let node_count = self.node.view.borrow().node_count();
-        let mut services = self.node.services.borrow_mut();
-        let state = services.get_mut(&service.name);
-        let budget = || {
-            state.is_some_and(|s| s.budget.repeat(now, &self.node.settings.retry, node_count, Reason::Failure))
+    /// Sends the request, and to a second target as well if the answer of the first is late.
+    async fn send(
+        &mut self,
+        outgoing: &Outgoing<'_>,
+        seeking: &mut Seeking<'_>,
+        placed: Placed,
+    ) -> Result<Response<AnswerBody>, Failed> {
+        let node = self.node;
+        let hedge_at = self.begin(seeking, &placed);
+        let first = outgoing.send(node, placed);
+        tokio::pin!(first);
+        let route = seeking.route();
+        let hedged = route.repeat == Repeat::Idempotent && self.attempts.sent() < route.attempts_max;
+        if !hedged {
+            let end = first.await;
+            return self.ended(end);
+        }
+        tokio::select! {
+            end = &mut first => return self.ended(end),
+            () = tokio::time::sleep_until(node.instant(hedge_at)) => {}
+        }
+        let placed = tokio::select! {
+            end = &mut first => return self.ended(end),
+            placed = seeking.find_free(node) => placed,
+        };
+        let placed = match placed {
+            Some(placed) if self.may_repeat(seeking.service, Reason::Hedge) => placed,
+            other => {
+                if let Some(placed) = other {
+                    node.pool.put(placed.connection);
+                }
+                let end = first.await;
+                return self.ended(end);
+            }
+        };
+        info!(
+            node.log, "hedge";
+            "request" => outgoing.request_id.unwrap_or("-"), "target" => &*placed.target.id,
+        );
+        self.begin(seeking, &placed);
+        let second = outgoing.send(node, placed);
+        tokio::pin!(second);
+        let (end, other_is_first) = tokio::select! {
+            end = &mut first => (end, false),
+            end = &mut second => (end, true),
+        };
+        let end = self.ended(end);
+        let Err(failed) = end else {
+            return end;
         };
+        debug!(node.log, "hedge_failed"; "why" => &failed.why);
+        let end = match other_is_first {
+            true => first.await,
+            false => second.await,
+        };
+        self.ended(end)
+    }
+
+    /// Notes a send. Returns when a second one may be started beside it.
+    fn begin(&mut self, seeking: &mut Seeking<'_>, placed: &Placed) -> Now {
+        let now = self.node.now();
+        let id = placed.target.id.clone();
+        seeking.tried.push(id.clone());
+        self.attempts.send();
+        self.last_sent = Some(Sent {
+            target: id,
+            offer: placed.offer.clone(),
+            at: now,
+        });
+        hedge_at(now, placed.offer.expected)
+    }
+
+    /// Notes the end of a send.
+    fn ended(
+        &mut self,
+        end: Result<Response<AnswerBody>, Failed>,
+    ) -> Result<Response<AnswerBody>, Failed> {
+        if let Err(failed) = &end {
+            self.attempts.ended(failed.outcome);
+        }
+        end
+    }
+
+    fn may_repeat(&self, service: &Service, reason: Reason) -> bool {
+        let node = self.node;
+        let node_count = node.view.borrow().node_count();
+        let mut services = node.services.borrow_mut();
+        services.get_mut(&service.name).is_some_and(|state| {
+            state
+                .budget
+                .repeat(node.now(), &node.settings.retry, node_count, reason)
+        })
+    }
+
+    fn next(&mut self, failed: &Failed, route: &Route, service: &Service) -> Next {
+        let budget = || self.may_repeat(service, Reason::Failure);
         self.attempts
             .next(failed.outcome, route.repeat, route.attempts_max, budget)
     }
