--- a/control/src/book.rs
+++ b/control/src/book.rs
@@ -73,6 +73,7 @@
         Record {
             error_rate: self.error_rate(now),
             cold: self.is_cold(now),
+            unhealthy: false,
             slow_for: self.slow_for(now),
         }
     }
--- a/control/src/place.rs
+++ b/control/src/place.rs
@@ -42,6 +42,9 @@
 /// Expected time lost per failed answer, in units of the work time.
 const FAILURE_COST: f64 = 4.0;
 
+/// Expected time lost at a target that says it is not healthy, in units of the work time.
+const UNHEALTHY_COST: f64 = 20.0;
+
 /// Where this entry stands.
 #[value]
 pub struct Place {
@@ -156,6 +159,8 @@
     pub error_rate: f64,
     /// True if it is cold.
     pub cold: bool,
+    /// True if it says that it is not healthy.
+    pub unhealthy: bool,
     /// How long it has been slow.
     pub slow_for: Duration,
 }
@@ -175,11 +180,17 @@
     let queued = f64::from((ahead + 1).saturating_sub(load.slots)) / f64::from(load.slots.max(1));
     let busy = work.mul_f64(crowding * (1.0 + queued));
     let slowed = busy.mul_f64(load.pace.clamp(1.0, PACE_MAX));
-    let failures = work.mul_f64(record.error_rate * FAILURE_COST);
+    // Health answers can be false, so an unhealthy target is the last resort rather than none.
+    let unhealthy = if record.unhealthy { UNHEALTHY_COST } else { 0.0 };
+    let failures = work.mul_f64(record.error_rate * FAILURE_COST + unhealthy);
     Offer {
         load,
         expected: slowed + failures + round_trip,
-        free: has_room && load.pace < PACE_SLOW && record.error_rate < ERROR_RATE_SOUND && !record.cold,
+        free: has_room
+            && load.pace < PACE_SLOW
+            && record.error_rate < ERROR_RATE_SOUND
+            && !record.cold
+            && !record.unhealthy,
         has_room: has_room && (load.pace < PACE_SLOW || record.slow_for > SLOW_SPELL_MAX),
     }
 }
--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -9,6 +9,7 @@
 //! tells of knowledge that came from this one is refused, so entries never feed each other.
 
 use std::cmp::Reverse;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use lacewingmoor_derive::value;
@@ -34,6 +35,8 @@
     Store,
     /// Another entry.
     Peer(NodeName),
+    /// An entry named by the settings, for a start while the store is away.
+    Seed(SocketAddr),
 }
 
 /// Sources that failed lately.
@@ -47,17 +50,18 @@
     pub fn failed(&mut self, now: Now, source: &Source) {
         let cooldown = match source {
             Source::Store => STORE_COOLDOWN,
-            Source::Peer(_) => PEER_COOLDOWN,
+            Source::Peer(_) | Source::Seed(_) => PEER_COOLDOWN,
         };
         self.cooldown_until.insert(source.clone(), now + cooldown);
     }
 
     /// Chooses the source to follow next, for the entry `own`.
-    pub fn choose(&mut self, now: Now, view: &View, own: &Node) -> Source {
+    pub fn choose(&mut self, now: Now, view: &View, own: &Node, seeds: &[SocketAddr]) -> Source {
         self.cooldown_until.retain(|_, until| *until > now);
         self.better(view, own)
             .or_else(|| self.usable(Source::Store))
             .or_else(|| self.any_peer(view, own))
+            .or_else(|| self.any_seed(own, seeds))
             .unwrap_or(Source::Store)
     }
 
@@ -89,6 +93,13 @@
             .find_map(|node| self.usable(Source::Peer(node.name.clone())))
     }
 
+    fn any_seed(&self, own: &Node, seeds: &[SocketAddr]) -> Option<Source> {
+        seeds
+            .iter()
+            .filter(|addr| **addr != own.addr)
+            .find_map(|addr| self.usable(Source::Seed(*addr)))
+    }
+
     fn usable(&self, source: Source) -> Option<Source> {
         (!self.cooldown_until.contains_key(&source)).then_some(source)
     }
--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -16,10 +16,14 @@
 use tokio::net::TcpListener;
 
 use crate::node::Node;
+use crate::status;
 
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
+/// Path of the status.
+const STATUS_PATH: &str = "/status";
+
 /// Buffer of a connection; heads and answers are small, but hyper takes no less.
 const BUFFER_BYTES: usize = 8 * 1024;
 
@@ -61,6 +65,7 @@
         READY_PATH if node.is_ready() => (StatusCode::OK, "ready\n".into()),
         READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         METRICS_PATH => (StatusCode::OK, metrics.render()),
+        STATUS_PATH => (StatusCode::OK, status::report(node).to_string()),
         _ => (StatusCode::NOT_FOUND, "not found\n".into()),
     };
     let mut response = Response::new(Full::new(Bytes::from(body)));
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -74,7 +74,7 @@
     loop {
         let source = {
             let view = node.view.borrow();
-            sources.choose(node.now(), &view, &node.own)
+            sources.choose(node.now(), &view, &node.own, &node.settings.seeds)
         };
         info!(
             node.log, "source";
@@ -84,6 +84,7 @@
         let end = match &source {
             Source::Store => follow_store(&node, &sources).await,
             Source::Peer(name) => follow_peer(&node, name).await,
+            Source::Seed(addr) => peer::follow(&node, *addr).await.into(),
         };
         match end {
             Error::BetterSource => continue,
@@ -142,7 +143,7 @@
             starting = false;
             tokio::time::sleep(START_PAUSE).await;
         } else if changed {
-            tokio::time::sleep(node.settings.apply.mul_f64(BATCH_PAUSE_SHARE)).await;
+            tokio::time::sleep(node.tuning().apply.mul_f64(BATCH_PAUSE_SHARE)).await;
         }
     }
 }
@@ -198,7 +199,7 @@
     client: &mut Client,
     after: u64,
 ) -> Result<(Now, Update), StoreError> {
-    let wait = node.settings.apply.mul_f64(WATCH_WAIT_SHARE);
+    let wait = node.tuning().apply.mul_f64(WATCH_WAIT_SHARE);
     let request = store::watch(&client.host(), FOLLOWED_PREFIX, after, wait);
     let (status, body) = client.call("watch", request, wait).await?;
     let events = store::decode_events(status, &body)?;
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod request;
 pub mod send;
 pub mod settings;
+pub mod status;
 pub mod store;
--- a/entry/src/log.rs
+++ b/entry/src/log.rs
@@ -26,7 +26,7 @@
     tokens: Cell<f64>,
     filled_at: Cell<Instant>,
     left_out: Cell<u64>,
-    lines_per_s: f64,
+    lines_per_s: Cell<f64>,
 }
 
 thread_local! {
@@ -40,13 +40,22 @@
         tokens: Cell::new(f64::from(lines_per_s) * BURST_S),
         filled_at: Cell::new(Instant::now()),
         left_out: Cell::new(0),
-        lines_per_s: f64::from(lines_per_s),
+        lines_per_s: Cell::new(f64::from(lines_per_s)),
     };
     BUFFER.set(Some(buffer));
     let drain = Lines.filter_level(level).fuse();
     Logger::root(drain, slog::o!("node" => node.to_owned()))
 }
 
+/// Changes how many lines a second are logged.
+pub fn set_rate(lines_per_s: u32) {
+    BUFFER.with_borrow(|buffer| {
+        if let Some(buffer) = buffer {
+            buffer.lines_per_s.set(f64::from(lines_per_s));
+        }
+    });
+}
+
 /// Returns a logger that discards everything.
 pub fn discard() -> Logger {
     Logger::root(slog::Discard, slog::o!())
@@ -76,8 +85,9 @@
     fn take(&self) -> bool {
         let now = Instant::now();
         let elapsed = now - self.filled_at.replace(now);
-        let burst = self.lines_per_s * BURST_S;
-        let tokens = (self.tokens.get() + elapsed.as_secs_f64() * self.lines_per_s).min(burst);
+        let lines_per_s = self.lines_per_s.get();
+        let earned = elapsed.as_secs_f64() * lines_per_s;
+        let tokens = (self.tokens.get() + earned).min(lines_per_s * BURST_S);
         let enough = tokens >= 1.0 && self.bytes.borrow().len() < BUFFER_BYTES_MAX;
         self.tokens.set(if enough { tokens - 1.0 } else { tokens });
         enough
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -1,6 +1,6 @@
 //! State of the process that its tasks share. All tasks run on one thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, Ref, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -19,10 +19,10 @@
 use tokio::sync::watch;
 
 use crate::connection::Pool;
-use crate::follow;
+use crate::{follow, log};
 use crate::metrics::Traffic;
 use crate::queue::Queue;
-use crate::settings::Settings;
+use crate::settings::{Settings, Tuning};
 
 /// What this entry has seen of a service.
 pub struct ServiceState {
@@ -40,7 +40,7 @@
 
 /// Shared state.
 pub struct Node {
-    /// Settings.
+    /// Settings as they were at the start.
     pub settings: Settings,
     /// Where the entry stands.
     pub here: Place,
@@ -74,6 +74,7 @@
     pub rng: RefCell<StdRng>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
+    tuning: RefCell<Tuning>,
     started_at: Instant,
     stop: RefCell<Stop>,
     leaving: watch::Sender<bool>,
@@ -110,6 +111,7 @@
             queue: Queue::default(),
             rng: RefCell::new(rand::make_rng()),
             in_flight: Cell::new(0),
+            tuning: RefCell::new(settings.tuning.clone()),
             started_at: Instant::now(),
             stop: RefCell::default(),
             leaving: watch::Sender::new(false),
@@ -128,6 +130,17 @@
         (self.started_at + at).into()
     }
 
+    /// Returns the settings that a reload changes.
+    pub fn tuning(&self) -> Ref<'_, Tuning> {
+        self.tuning.borrow()
+    }
+
+    /// Puts reloaded settings in force.
+    pub fn retune(&self, tuning: Tuning) {
+        log::set_rate(tuning.log_lines_per_s);
+        self.tuning.replace(tuning);
+    }
+
     /// Returns the bundle in force.
     pub fn bundle(&self) -> Option<Rc<Bundle>> {
         self.view.borrow().bundle().cloned()
@@ -141,7 +154,8 @@
 
     /// Returns the phase of the process.
     pub fn phase(&self) -> Phase {
-        self.stop.borrow().phase(self.now(), self.settings.grace)
+        let grace = self.tuning().grace;
+        self.stop.borrow().phase(self.now(), grace)
     }
 
     /// Returns a receiver that turns true when the process is to stop.
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -65,7 +65,7 @@
         return Err(Error::Circular);
     }
     let age = Duration::from_millis(status.age_ms);
-    if age > node.settings.apply.mul_f64(AGE_MAX_SHARE) {
+    if age > node.tuning().apply.mul_f64(AGE_MAX_SHARE) {
         return Err(Error::Old(age));
     }
     node.follows_peer(status.origin, node.now().saturating_sub(age));
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -181,7 +181,7 @@
         let rate = {
             let view = self.node.view.borrow();
             let targets = view.service(&self.service.name).len();
-            let allowed = self.node.settings.probes_per_s * PROBE_SHARE;
+            let allowed = self.node.tuning().probes_per_s * PROBE_SHARE;
             allowed * targets as f64 / view.node_count() as f64
         };
         let mut services = self.node.services.borrow_mut();
@@ -251,9 +251,10 @@
     fn rate(&self, probed: Probed) -> Placed {
         let now = self.node.now();
         let target = probed.target;
-        let (record, in_flight) = self
+        let (mut record, in_flight) = self
             .node
             .with_book(&target.id, |book| (book.record(now), book.in_flight));
+        record.unhealthy = !probed.healthy;
         let load = probed.load.unwrap_or_else(|| {
             self.note_no_load();
             own_load(&target, in_flight)
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -29,6 +29,8 @@
     pub target: Rc<Target>,
     /// Its load; `None` if the service does not report it.
     pub load: Option<Load>,
+    /// False if it says that it is not healthy or leaves.
+    pub healthy: bool,
     /// Time that the question took.
     pub round_trip: Duration,
     /// The connection, ready for a request.
@@ -41,8 +43,6 @@
     Unreachable(String),
     /// It is full and rejected the question.
     Full,
-    /// It says that it is not healthy or leaves.
-    Unhealthy(StatusCode),
     /// Another target has the address.
     OtherTarget,
 }
@@ -83,10 +83,11 @@
     let asked = asked.unwrap_or_else(|_| Err(Unusable::Unreachable("timed out".into())));
     let now = node.now();
     let why = match asked {
-        Ok((connection, load)) => {
+        Ok((connection, load, healthy)) => {
             return Some(Probed {
                 target,
                 load,
+                healthy,
                 round_trip: asked_at.elapsed(),
                 connection,
             });
@@ -101,10 +102,6 @@
             node.with_book(&target.id, |book| book.failed(now));
             why
         }
-        Unusable::Unhealthy(status) => {
-            node.with_book(&target.id, |book| book.failed(now));
-            format!("status {}", status.as_u16())
-        }
         Unusable::OtherTarget => {
             node.with_book(&target.id, |book| book.failed(now));
             "another target has the address".into()
@@ -118,7 +115,7 @@
     node: &Rc<Node>,
     target: &Target,
     health_path: &str,
-) -> Result<(Connection, Option<Load>), Unusable> {
+) -> Result<(Connection, Option<Load>, bool), Unusable> {
     let unreachable = |e: crate::connection::Error| Unusable::Unreachable(e.to_string());
     let mut connection = node
         .pool
@@ -154,11 +151,12 @@
     if headers::is_not_run(head.status, &head.headers) {
         return Err(Unusable::Full);
     }
-    if head.status != StatusCode::OK {
-        return Err(Unusable::Unhealthy(head.status));
-    }
-    node.with_book(&target.id, |book| book.reached());
-    Ok((connection, load))
+    let healthy = head.status == StatusCode::OK;
+    node.with_book(&target.id, |book| match healthy {
+        true => book.reached(),
+        false => book.failed(now),
+    });
+    Ok((connection, load, healthy))
 }
 
 fn question(target: &Target, health_path: &str) -> Request<Bytes> {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -1,12 +1,12 @@
 //! Start, signals and stop of the process.
 
 use std::net::SocketAddr;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, SystemTime};
 
 use lacewingmoor_control::stop::Phase;
-use slog::info;
+use slog::{info, warn};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
@@ -19,6 +19,9 @@
 /// Interval at which the end of a stop is checked.
 const STOP_CHECK: Duration = Duration::from_millis(50);
 
+/// Interval at which the settings file is checked for changes.
+const RELOAD_CHECK: Duration = Duration::from_secs(3);
+
 /// Interval at which idle connections and lapsed targets are cleared.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 
@@ -33,7 +36,7 @@
         .enable_all()
         .build()
         .map_err(|e| Error::Start("runtime", e))?;
-    LocalSet::new().block_on(&runtime, serve(settings))
+    LocalSet::new().block_on(&runtime, serve(settings, settings_path))
 }
 
 async fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
@@ -42,11 +45,11 @@
         .map_err(|e| Error::Listen(what, addr, e))
 }
 
-async fn serve(settings: Settings) -> Result<(), Error> {
+async fn serve(settings: Settings, settings_path: PathBuf) -> Result<(), Error> {
     let handle = metrics::install();
     let log = log::logger(
         settings.log_level,
-        settings.log_lines_per_s,
+        settings.tuning.log_lines_per_s,
         &settings.node,
     );
     let node = Node::new(settings, log);
@@ -73,7 +76,7 @@
             handle.run_upkeep();
         }
     });
-    wait_for_stop(&node).await?;
+    wait_for_stop(&node, &settings_path).await?;
     node.begin_stop();
     info!(node.log, "stopping"; "in_flight" => node.in_flight.get());
     finish(&node).await;
@@ -86,23 +89,60 @@
     Ok(())
 }
 
-/// Waits for the signal to stop.
-async fn wait_for_stop(node: &Rc<Node>) -> Result<(), Error> {
+/// Waits for the signal to stop. Meanwhile reloads the settings on a hangup, and when the file has
+/// changed without one.
+async fn wait_for_stop(node: &Rc<Node>, settings_path: &Path) -> Result<(), Error> {
     let handler = |kind| signal(kind).map_err(|e| Error::Start("signal handler", e));
     let mut terminate = handler(SignalKind::terminate())?;
     let mut interrupt = handler(SignalKind::interrupt())?;
     let mut hangup = handler(SignalKind::hangup())?;
+    let mut modified = modified_at(settings_path);
     loop {
         tokio::select! {
             _ = terminate.recv() => return Ok(()),
             _ = interrupt.recv() => return Ok(()),
             _ = hangup.recv() => {
-                info!(node.log, "reload"; "applied" => "nothing, settings take effect at start");
+                modified = modified_at(settings_path);
+                reload(node, settings_path);
+            }
+            () = tokio::time::sleep(RELOAD_CHECK) => {
+                let now = modified_at(settings_path);
+                if now != modified {
+                    modified = now;
+                    reload(node, settings_path);
+                }
             }
         }
     }
 }
 
+fn modified_at(path: &Path) -> Option<SystemTime> {
+    std::fs::metadata(path).and_then(|m| m.modified()).ok()
+}
+
+/// Puts changed settings in force. A file that cannot be used changes nothing.
+fn reload(node: &Node, path: &Path) {
+    let settings = match Settings::load(path) {
+        Ok(settings) => settings,
+        Err(error) => {
+            warn!(node.log, "reload_failed"; "cause" => %error);
+            return;
+        }
+    };
+    let fixed = |s: &Settings| {
+        let mut fixed = s.clone();
+        fixed.tuning = node.settings.tuning.clone();
+        fixed
+    };
+    let needs_restart = fixed(&settings) != fixed(&node.settings);
+    let changed = *node.tuning() != settings.tuning;
+    node.retune(settings.tuning);
+    info!(
+        node.log, "reload";
+        "changed" => changed, "other_settings_need_restart" => needs_restart,
+    );
+}
+
 /// Waits until the work in flight is done or time is up.
 async fn finish(node: &Node) {
     loop {
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -210,7 +210,7 @@
             });
         state
             .budget
-            .request(self.node.now(), &self.node.settings.retry);
+            .request(self.node.now(), &self.node.tuning().retry);
         Ok(service)
     }
 
@@ -368,7 +368,7 @@
         services.get_mut(&service.name).is_some_and(|state| {
             state
                 .budget
-                .repeat(node.now(), &node.settings.retry, node_count, reason)
+                .repeat(node.now(), &node.tuning().retry, node_count, reason)
         })
     }
 
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -37,6 +37,8 @@
     pub metrics: String,
     /// Address for other entries.
     pub peers: String,
+    /// Addresses of other entries to start from while the store is away.
+    pub seeds: Vec<String>,
     /// Address of the store.
     pub store: String,
     /// Time between the signal to stop and the kill, in seconds.
@@ -113,20 +115,29 @@
     pub metrics: SocketAddr,
     /// Address for other entries.
     pub peers: SocketAddr,
+    /// Addresses of other entries to start from while the store is away.
+    pub seeds: Vec<SocketAddr>,
     /// Address of the store.
     pub store: SocketAddr,
+    /// Rank of the VM as a source for other entries; greater is better.
+    pub capacity: u32,
+    /// Lowest level that is logged.
+    pub log_level: slog::Level,
+    /// Settings that a reload changes.
+    pub tuning: Tuning,
+}
+
+/// Settings that take effect on a reload.
+#[value]
+pub struct Tuning {
     /// Time between the signal to stop and the kill.
     pub grace: Duration,
     /// Time within which changes must be in force.
     pub apply: Duration,
-    /// Rank of the VM as a source for other entries; greater is better.
-    pub capacity: u32,
     /// Questions that a target may be asked by all entries together, a second.
     pub probes_per_s: f64,
     /// Limits of repeated sends.
     pub retry: RetryLimits,
-    /// Lowest level that is logged.
-    pub log_level: slog::Level,
     /// Most log lines a second.
     pub log_lines_per_s: u32,
 }
@@ -194,6 +205,13 @@
         SocketAddr::from(([0, 0, 0, 0], 0))
     }
 
+    fn addrs(&mut self, field: &str, values: &[String]) -> Vec<SocketAddr> {
+        let values = values.iter().enumerate();
+        values
+            .map(|(i, value)| self.addr(&format!("{field}[{i}]"), value))
+            .collect()
+    }
+
     fn seconds(&mut self, field: &str, value: f64) -> Duration {
         match Duration::try_from_secs_f64(value) {
             Ok(time) if !time.is_zero() => time,
@@ -243,21 +261,24 @@
             ready: check.addr("ready", &raw.ready),
             metrics: check.addr("metrics", &raw.metrics),
             peers: check.addr("peers", &raw.peers),
+            seeds: check.addrs("seeds", &raw.seeds),
             store: check.addr("store", &raw.store),
-            grace: check.seconds("grace_s", raw.grace_s),
-            apply: check.millis("apply_ms", raw.apply_ms),
             capacity: capacity(
                 check.positive("machine.cpu_share", raw.machine.cpu_share),
                 check.positive("machine.link_mbit_s", raw.machine.link_mbit_s),
             ),
-            probes_per_s: check.positive("probes_per_s", raw.probes_per_s),
-            retry: RetryLimits {
-                ratio: check.positive("retry.ratio", raw.retry.ratio),
-                extra: check.positive("retry.extra", raw.retry.extra),
-                window: check.seconds("retry.window_s", raw.retry.window_s),
-            },
             log_level,
-            log_lines_per_s: raw.log.lines_per_s,
+            tuning: Tuning {
+                grace: check.seconds("grace_s", raw.grace_s),
+                apply: check.millis("apply_ms", raw.apply_ms),
+                probes_per_s: check.positive("probes_per_s", raw.probes_per_s),
+                retry: RetryLimits {
+                    ratio: check.positive("retry.ratio", raw.retry.ratio),
+                    extra: check.positive("retry.extra", raw.retry.extra),
+                    window: check.seconds("retry.window_s", raw.retry.window_s),
+                },
+                log_lines_per_s: raw.log.lines_per_s,
+            },
         };
         let listeners = [
             ("callers", settings.callers),
--- /dev/null
+++ b/entry/src/status.rs
@@ -0,0 +1,48 @@
+//! What the entry believes at this moment, for operators.
+
+use serde_json::{Value, json};
+
+use crate::node::Node;
+
+/// Reports what is in force, from whom it is known, and the state of every service.
+pub fn report(node: &Node) -> Value {
+    let now = node.now();
+    let view = node.view.borrow();
+    let books = node.books.borrow();
+    let services: Vec<Value> = view
+        .bundle()
+        .map_or(&[][..], |bundle| &bundle.services)
+        .iter()
+        .map(|service| {
+            let ids = view.service(&service.name);
+            let count = |of: &dyn Fn(&str) -> bool| ids.iter().filter(|id| of(id)).count();
+            json!({
+                "name": service.name,
+                "targets": ids.len(),
+                "draining": count(&|id| view.target(id).is_some_and(|k| k.target.draining)),
+                "in_zones_out": count(&|id| {
+                    view.target(id).is_some_and(|k| view.is_out(&k.target.zone))
+                }),
+                "cold": count(&|id| books.get(id).is_some_and(|b| b.is_cold(now))),
+                "avoided": count(&|id| books.get(id).is_some_and(|b| b.is_avoided(now))),
+                "waiting_requests": node.queue.len(&service.name),
+            })
+        })
+        .collect();
+    let zones_out: Vec<&str> = view.zones_out().map(|zone| &**zone).collect();
+    json!({
+        "node": node.settings.node,
+        "zone": node.settings.zone,
+        "region": node.settings.region,
+        "ready": node.is_ready(),
+        "phase": format!("{:?}", node.phase()),
+        "bundle_version": view.bundle().map(|bundle| bundle.version),
+        "store_revision": node.ledger.borrow().revision(),
+        "knowledge_age_ms": node.knowledge_age().as_millis() as u64,
+        "knowledge_from": *node.origin.borrow(),
+        "entries": view.node_count(),
+        "zones_out": zones_out,
+        "requests_in_flight": node.in_flight.get(),
+        "services": services,
+    })
+}
--- /dev/null
+++ b/standin/src/entry.rs
@@ -0,0 +1,153 @@
+//! Runs an entry as a process of its own.
+
+use std::fs::File;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::time::{Duration, Instant};
+
+/// Settings of an entry under test.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// Name of the entry.
+    pub name: String,
+    /// Zone.
+    pub zone: String,
+    /// Region of every zone.
+    pub regions: Vec<(String, String)>,
+    /// Address of the store.
+    pub store: SocketAddr,
+    /// Addresses of other entries to start from.
+    pub seeds: Vec<SocketAddr>,
+    /// Time between the signal to stop and the kill.
+    pub grace: Duration,
+}
+
+/// A running entry.
+#[derive(Debug)]
+pub struct EntryProcess {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address of the readiness check.
+    pub ready: SocketAddr,
+    /// Address of metrics and status.
+    pub metrics: SocketAddr,
+    /// Address for other entries.
+    pub peers: SocketAddr,
+    /// File that its output goes to.
+    pub log: PathBuf,
+    /// Settings file.
+    pub settings: PathBuf,
+    binary: PathBuf,
+    child: Child,
+}
+
+/// Returns an address of loopback whose port is free at this moment.
+///
+/// # Errors
+///
+/// Returns the error of the operating system.
+pub fn free_addr() -> io::Result<SocketAddr> {
+    TcpListener::bind("127.0.0.1:0")?.local_addr()
+}
+
+impl EntryProcess {
+    /// Starts `binary` with settings and log in `dir`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of writing the settings or starting the process.
+    pub fn start(binary: &Path, dir: &Path, settings: &EntrySettings) -> io::Result<Self> {
+        let [callers, ready, metrics, peers] =
+            [free_addr()?, free_addr()?, free_addr()?, free_addr()?];
+        let region = settings
+            .regions
+            .iter()
+            .find(|(zone, _)| *zone == settings.zone)
+            .map_or("", |(_, region)| region);
+        let regions: serde_json::Map<String, serde_json::Value> = settings
+            .regions
+            .iter()
+            .map(|(zone, region)| (zone.clone(), region.as_str().into()))
+            .collect();
+        let seeds: Vec<String> = settings.seeds.iter().map(SocketAddr::to_string).collect();
+        let document = serde_json::json!({
+            "node": settings.name, "zone": settings.zone, "region": region, "regions": regions,
+            "callers": callers, "ready": ready, "metrics": metrics, "peers": peers,
+            "seeds": seeds, "store": settings.store, "grace_s": settings.grace.as_secs_f64(),
+            "apply_ms": 2000, "probes_per_s": 60.0,
+            "machine": { "cpu_share": 0.2, "link_mbit_s": 1000.0 },
+            "retry": { "ratio": 0.2, "extra": 64.0, "window_s": 10.0 },
+        });
+        let path = dir.join(format!("{}.yaml", settings.name));
+        std::fs::write(&path, document.to_string())?;
+        let log = dir.join(format!("{}.log", settings.name));
+        let child = spawn(binary, &path, &log)?;
+        Ok(Self {
+            callers,
+            ready,
+            metrics,
+            peers,
+            log,
+            settings: path,
+            binary: binary.to_owned(),
+            child,
+        })
+    }
+
+    /// Starts the process again after it has ended, at the same addresses.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting the process.
+    pub fn restart(&mut self) -> io::Result<()> {
+        self.child = spawn(&self.binary, &self.settings, &self.log)?;
+        Ok(())
+    }
+
+    /// Sends a signal to the process.
+    pub fn signal(&self, signal: i32) {
+        let pid = self.child.id() as libc::pid_t;
+        // SAFETY: kill() has no memory effects; the process is a child that was not waited for,
+        // so its id is not used by another one.
+        unsafe { libc::kill(pid, signal) };
+    }
+
+    /// Waits until the process has ended; true if it ended well within `timeout`.
+    pub fn wait(&mut self, timeout: Duration) -> bool {
+        let ends = Instant::now() + timeout;
+        while Instant::now() < ends {
+            match self.child.try_wait() {
+                Ok(Some(status)) => return status.success(),
+                Ok(None) => std::thread::sleep(Duration::from_millis(10)),
+                Err(_) => return false,
+            }
+        }
+        false
+    }
+
+    /// Returns what the process has logged so far.
+    pub fn log_text(&self) -> String {
+        std::fs::read_to_string(&self.log).unwrap_or_default()
+    }
+}
+
+fn spawn(binary: &Path, settings: &Path, log: &Path) -> io::Result<Child> {
+    let output = File::options().create(true).append(true).open(log)?;
+    Command::new(binary)
+        .arg("--settings")
+        .arg(settings)
+        .stdin(Stdio::null())
+        .stderr(output.try_clone()?)
+        .stdout(output)
+        .spawn()
+}
+
+impl Drop for EntryProcess {
+    fn drop(&mut self) {
+        // The process may have ended already.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- /dev/null
+++ b/standin/src/fleet.rs
@@ -0,0 +1,268 @@
+//! A whole deployment on loopback: store, targets and entries.
+
+use std::io;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::rc::Rc;
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use lacewingmoor_bundle::{
+    RawBundle, RawDestination, RawLimits, RawRepeat, RawRoute, RawService,
+};
+use lacewingmoor_control::facts::Target;
+
+use crate::entry::{EntryProcess, EntrySettings};
+use crate::store::Store;
+use crate::target::{HEALTH_PATH, Settings, TargetStandin};
+
+/// Host of the example routes.
+pub const HOST: &str = "pool.example";
+
+/// Zones of the example and their regions.
+pub const ZONES: [(&str, &str); 4] = [
+    ("north-a", "north"),
+    ("north-b", "north"),
+    ("south-a", "south"),
+    ("south-b", "south"),
+];
+
+/// A target of the fleet with its registration.
+pub struct Member {
+    /// The target.
+    pub standin: TargetStandin,
+    /// Its registration.
+    pub registration: Target,
+}
+
+/// A running deployment.
+pub struct Fleet {
+    /// Store.
+    pub store: Store,
+    /// Targets.
+    pub targets: Vec<Member>,
+    /// Entries.
+    pub entries: Vec<EntryProcess>,
+    binary: PathBuf,
+    dir: tempfile::TempDir,
+}
+
+/// A service of the fleet.
+#[derive(Clone, Debug)]
+pub struct ServicePlan {
+    /// Name.
+    pub name: &'static str,
+    /// Targets in each zone.
+    pub per_zone: usize,
+    /// Slots of a target.
+    pub slots: u32,
+    /// Time that a request takes.
+    pub work: Duration,
+    /// Whether targets report their load.
+    pub reports_load: bool,
+    /// Bytes of an answer.
+    pub answer_bytes: usize,
+}
+
+impl ServicePlan {
+    /// A service of small, quick requests.
+    pub fn small(name: &'static str) -> Self {
+        Self {
+            name,
+            per_zone: 1,
+            slots: 4,
+            work: Duration::from_millis(5),
+            reports_load: true,
+            answer_bytes: 200,
+        }
+    }
+}
+
+impl Fleet {
+    /// Starts a store, the targets of `plans` and one entry in each of the first `entry_count`
+    /// zones. Writes the bundle and all registrations.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of the part that did not start.
+    pub async fn start(
+        binary: &Path,
+        plans: &[ServicePlan],
+        entry_count: usize,
+    ) -> io::Result<Self> {
+        let dir = tempfile::tempdir()?;
+        let store = Store::start(loopback()).await?;
+        store.put_bundle(&bundle(1, plans));
+        let mut fleet = Self {
+            store,
+            targets: Vec::new(),
+            entries: Vec::new(),
+            binary: binary.to_owned(),
+            dir,
+        };
+        for plan in plans {
+            for (zone, region) in ZONES {
+                for i in 0..plan.per_zone {
+                    let id = format!("{}-{zone}-{i}", plan.name);
+                    fleet.add_target(plan, &id, zone, region).await?;
+                }
+            }
+        }
+        for i in 0..entry_count {
+            let (zone, _) = ZONES[i % ZONES.len()];
+            fleet.add_entry(&format!("entry-{i}"), zone, fleet.store.addr())?;
+        }
+        Ok(fleet)
+    }
+
+    /// Starts and registers a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting it.
+    pub async fn add_target(
+        &mut self,
+        plan: &ServicePlan,
+        id: &str,
+        zone: &str,
+        region: &str,
+    ) -> io::Result<()> {
+        let settings = Settings {
+            id: id.to_owned(),
+            slots: plan.slots,
+            work: plan.work,
+            reports_load: plan.reports_load,
+            answer_bytes: plan.answer_bytes,
+        };
+        let standin = TargetStandin::start(loopback(), settings).await?;
+        let born = SystemTime::now().duration_since(UNIX_EPOCH);
+        let registration = Target {
+            id: Rc::from(id),
+            service: plan.name.to_owned(),
+            addr: standin.addr(),
+            zone: Rc::from(zone),
+            region: Rc::from(region),
+            slots: plan.slots,
+            draining: false,
+            warmup_left: Duration::ZERO,
+            born_unix_ms: born.ok().map(|time| time.as_millis() as u64),
+        };
+        self.store.put_target(&registration);
+        self.targets.push(Member {
+            standin,
+            registration,
+        });
+        Ok(())
+    }
+
+    /// Starts an entry that reaches the store at `store`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting it.
+    pub fn add_entry(&mut self, name: &str, zone: &str, store: SocketAddr) -> io::Result<()> {
+        let regions = ZONES.iter();
+        let settings = EntrySettings {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            regions: regions
+                .map(|(z, r)| ((*z).to_owned(), (*r).to_owned()))
+                .collect(),
+            store,
+            seeds: self.entries.iter().take(2).map(|e| e.peers).collect(),
+            grace: Duration::from_secs(6),
+        };
+        let entry = EntryProcess::start(&self.binary, self.dir.path(), &settings)?;
+        self.entries.push(entry);
+        Ok(())
+    }
+
+    /// Waits until every entry says that it is ready.
+    ///
+    /// # Errors
+    ///
+    /// Returns the entries' logs if that takes longer than `timeout`.
+    pub async fn wait_ready(&self, timeout: Duration) -> io::Result<()> {
+        let ends = Instant::now() + timeout;
+        for entry in &self.entries {
+            while get_status(entry.ready, lacewingmoor_platform::READY_PATH).await != Some(200) {
+                if Instant::now() > ends {
+                    return Err(io::Error::other(entry.log_text()));
+                }
+                tokio::time::sleep(Duration::from_millis(20)).await;
+            }
+        }
+        Ok(())
+    }
+}
+
+fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Returns the status of a GET, if there is an answer.
+pub async fn get_status(addr: SocketAddr, path: &str) -> Option<u16> {
+    get(addr, path).await.map(|(status, _)| status)
+}
+
+/// Returns status and body of a GET, if there is an answer.
+pub async fn get(addr: SocketAddr, path: &str) -> Option<(u16, String)> {
+    use http_body_util::BodyExt as _;
+    let stream = tokio::net::TcpStream::connect(addr).await.ok()?;
+    let io = hyper_util::rt::TokioIo::new(stream);
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(io).await.ok()?;
+    tokio::spawn(connection);
+    let request = http::Request::get(path)
+        .header(http::header::HOST, addr.to_string())
+        .body(http_body_util::Empty::<bytes::Bytes>::new())
+        .ok()?;
+    let answer = sender.send_request(request).await.ok()?;
+    let status = answer.status().as_u16();
+    let body = answer.into_body().collect().await.ok()?.to_bytes();
+    Some((status, String::from_utf8_lossy(&body).into_owned()))
+}
+
+/// Makes a bundle with two routes a service: `/<name>/read/`, which may be repeated, and
+/// `/<name>/write/`, which may not and is bound to the region `north`.
+pub fn bundle(version: u64, plans: &[ServicePlan]) -> RawBundle {
+    let route = |plan: &ServicePlan, repeat| {
+        let (verb, homes) = match repeat {
+            RawRepeat::Idempotent => ("read", Vec::new()),
+            RawRepeat::Once => ("write", vec!["north".to_owned()]),
+        };
+        RawRoute {
+            name: format!("{}-{verb}", plan.name),
+            host: HOST.to_owned(),
+            path_prefix: format!("/{}/{verb}/", plan.name),
+            repeat,
+            timeout_ms: 2000,
+            objective_ms: 400,
+            attempts_max: 2,
+            priority: 1,
+            destinations: vec![RawDestination {
+                service: plan.name.to_owned(),
+                weight: 1,
+            }],
+            home_regions: homes,
+        }
+    };
+    let services = plans.iter().map(|plan| RawService {
+        name: plan.name.to_owned(),
+        health_path: HEALTH_PATH.to_owned(),
+        connections_max: 200,
+        warmup_ms: 3000,
+        warmup_per_s: 7.0,
+    });
+    let reads = plans.iter().map(|p| route(p, RawRepeat::Idempotent));
+    let writes = plans.iter().map(|p| route(p, RawRepeat::Once));
+    RawBundle {
+        version,
+        services: services.collect(),
+        routes: reads.chain(writes).collect(),
+        limits: RawLimits {
+            head_bytes_max: 16 * 1024,
+            body_bytes_max: 1 << 20,
+            head_timeout_ms: 3000,
+            idle_timeout_ms: 15_000,
+        },
+    }
+}
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,9 @@
+//! Stand-ins of store, targets and callers, and a harness that runs entries as processes.
+
+pub mod caller;
+pub mod entry;
+pub mod fleet;
+pub mod relay;
+pub mod server;
+pub mod store;
+pub mod target;
--- /dev/null
+++ b/standin/src/server.rs
@@ -0,0 +1,114 @@
+//! A small HTTP server that the stand-ins share.
+
+use std::io;
+use std::net::SocketAddr;
+
+use bytes::Bytes;
+use http::{Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpListener;
+use tokio::task::{JoinHandle, JoinSet};
+
+/// Result of a handler; an error closes the connection without an answer.
+pub type Reply = Result<Response<Full<Bytes>>, io::Error>;
+
+/// A running server. Dropping it closes the listener and every connection.
+#[derive(Debug)]
+pub struct Server {
+    addr: SocketAddr,
+    task: JoinHandle<()>,
+}
+
+impl Server {
+    /// Binds `addr` and serves every request with `handler`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start<H, F>(addr: SocketAddr, handler: H) -> io::Result<Self>
+    where
+        H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+        F: Future<Output = Reply> + Send + 'static,
+    {
+        let listener = TcpListener::bind(addr).await?;
+        let addr = listener.local_addr()?;
+        let task = tokio::spawn(accept(listener, handler));
+        Ok(Self { addr, task })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    /// Closes the listener and every connection.
+    pub fn stop(&self) {
+        self.task.abort();
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.stop();
+    }
+}
+
+async fn accept<H, F>(listener: TcpListener, handler: H)
+where
+    H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
+    F: Future<Output = Reply> + Send + 'static,
+{
+    let mut open = JoinSet::new();
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            Some(_) = open.join_next() => continue,
+        };
+        let Ok((stream, _)) = accepted else {
+            continue;
+        };
+        let handler = handler.clone();
+        open.spawn(async move {
+            // A broken connection is part of what the stand-ins are for, so it is not reported.
+            let _ = stream.set_nodelay(true);
+            let _ = http1::Builder::new()
+                .serve_connection(TokioIo::new(stream), service_fn(handler))
+                .await;
+        });
+    }
+}
+
+/// Error of a handler that closes the connection without an answer.
+pub(crate) fn cut() -> io::Error {
+    io::Error::new(io::ErrorKind::ConnectionAborted, "cut by the stand-in")
+}
+
+/// Answer with a status and a short body.
+pub(crate) fn answer(status: StatusCode, bytes: impl Into<Bytes>) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::new(bytes.into()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a request body.
+pub(crate) async fn read_body(body: Incoming) -> Result<Bytes, io::Error> {
+    use http_body_util::BodyExt as _;
+    let body = body.collect().await.map_err(io::Error::other)?;
+    Ok(body.to_bytes())
+}
+
+/// Returns the decoded value of a query parameter.
+pub(crate) fn query(uri: &http::Uri, name: &str) -> Option<String> {
+    let pairs = uri.query()?.split('&');
+    let value = pairs
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(key, _)| *key == name)
+        .map(|(_, value)| value)?;
+    let decoded = percent_encoding::percent_decode_str(value).decode_utf8_lossy();
+    Some(decoded.into_owned())
+}
+
--- /dev/null
+++ b/standin/src/store.rs
@@ -0,0 +1,353 @@
+//! Stand-in of the platform's store: listings, watches, changes under conditions, leases.
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use http::{Method, Request, StatusCode};
+use hyper::body::Incoming;
+use lacewingmoor_bundle::RawBundle;
+use lacewingmoor_control::facts::{Record, Revision, Target};
+use lacewingmoor_platform::registry::{CONFIG_KEY, EVACUATE_PREFIX, SERVERS_PREFIX};
+use lacewingmoor_platform::serve::{self, Change};
+use lacewingmoor_platform::store::{
+    CHANGE_PATH, KEEP_PATH, LEASE_END_PATH, LEASE_PATH, LIST_PATH, LeaseId, WATCH_PATH,
+};
+use tokio::sync::watch;
+
+use crate::server::{Reply, Server, answer, cut, query, read_body};
+
+/// Items on a page of a listing.
+const PAGE_ITEMS: usize = 50;
+
+/// Interval at which leases are checked.
+const LEASE_CHECK: Duration = Duration::from_millis(50);
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Fault {
+    /// Answers.
+    #[default]
+    None,
+    /// Closes connections without an answer.
+    Reset,
+    /// Never answers.
+    Silent,
+    /// Answers 429.
+    Busy,
+    /// Executes calls and loses their answers.
+    LosesAnswers,
+    /// Answers after a delay.
+    Slow(Duration),
+}
+
+#[derive(Default)]
+struct Inner {
+    items: BTreeMap<String, (Record, LeaseId)>,
+    history: Vec<Record>,
+    /// History up to this revision is gone.
+    compacted: Revision,
+    revision: Revision,
+    leases: BTreeMap<LeaseId, (Instant, Duration)>,
+    last_lease: LeaseId,
+    fault: Fault,
+    calls: u64,
+}
+
+struct Shared {
+    inner: Mutex<Inner>,
+    changed: watch::Sender<Revision>,
+}
+
+/// A running store.
+pub struct Store {
+    server: Server,
+    shared: Arc<Shared>,
+}
+
+impl Store {
+    /// Starts an empty store on `addr`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of binding the address.
+    pub async fn start(addr: SocketAddr) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            inner: Mutex::default(),
+            changed: watch::Sender::new(0),
+        });
+        let state = shared.clone();
+        let server = Server::start(addr, move |request| handle(state.clone(), request)).await?;
+        let state = Arc::downgrade(&shared);
+        tokio::spawn(async move {
+            while let Some(shared) = state.upgrade() {
+                shared.end_leases();
+                drop(shared);
+                tokio::time::sleep(LEASE_CHECK).await;
+            }
+        });
+        Ok(Self { server, shared })
+    }
+
+    /// Returns the bound address.
+    pub fn addr(&self) -> SocketAddr {
+        self.server.addr()
+    }
+
+    /// Sets how calls are treated.
+    pub fn set_fault(&self, fault: Fault) {
+        self.shared.lock().fault = fault;
+    }
+
+    /// Returns the number of calls so far.
+    pub fn calls(&self) -> u64 {
+        self.shared.lock().calls
+    }
+
+    /// Returns the keys with a prefix.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        let inner = self.shared.lock();
+        let keys = inner.items.keys().filter(|key| key.starts_with(prefix));
+        keys.cloned().collect()
+    }
+
+    /// Writes a key.
+    pub fn put(&self, key: &str, value: Vec<u8>) {
+        self.shared.change(Change {
+            writes: vec![(key.to_owned(), value, 0)],
+            ..Change::default()
+        });
+    }
+
+    /// Removes a key.
+    pub fn remove(&self, key: &str) {
+        self.shared.change(Change {
+            removals: vec![key.to_owned()],
+            ..Change::default()
+        });
+    }
+
+    /// Writes a bundle as operators do.
+    pub fn put_bundle(&self, bundle: &RawBundle) {
+        self.put(CONFIG_KEY, serve::encode_config(bundle));
+    }
+
+    /// Writes the registration of a target.
+    pub fn put_target(&self, target: &Target) {
+        let key = format!("{SERVERS_PREFIX}{}", target.id);
+        self.put(&key, serve::encode_target(target));
+    }
+
+    /// Removes the registration of a target.
+    pub fn remove_target(&self, id: &str) {
+        self.remove(&format!("{SERVERS_PREFIX}{id}"));
+    }
+
+    /// Takes a zone out of service or back.
+    pub fn set_zone_out(&self, zone: &str, out: bool) {
+        let key = format!("{EVACUATE_PREFIX}{zone}");
+        match out {
+            true => self.put(&key, b"{}".to_vec()),
+            false => self.remove(&key),
+        }
+    }
+
+    /// Forgets the history.
+    pub fn compact(&self) {
+        let mut inner = self.shared.lock();
+        inner.compacted = inner.revision;
+        inner.history.clear();
+    }
+}
+
+impl Shared {
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().expect("no holder of the lock panics")
+    }
+
+    /// Makes a change if its conditions hold.
+    fn change(&self, change: Change) -> Option<Revision> {
+        let mut inner = self.lock();
+        let holds = change.expected.iter().all(|(key, revision)| {
+            let current = inner.items.get(key).map_or(0, |(r, _)| r.revision);
+            current == *revision
+        });
+        if !holds {
+            return None;
+        }
+        inner.revision += 1;
+        let revision = inner.revision;
+        for (key, value, lease) in change.writes {
+            let record = Record {
+                key: key.clone(),
+                revision,
+                value: Some(value),
+            };
+            inner.history.push(record.clone());
+            inner.items.insert(key, (record, lease));
+        }
+        for key in change.removals {
+            if inner.items.remove(&key).is_some() {
+                inner.history.push(Record {
+                    key,
+                    revision,
+                    value: None,
+                });
+            }
+        }
+        drop(inner);
+        self.changed.send_replace(revision);
+        Some(revision)
+    }
+
+    fn end_leases(&self) {
+        let removals: Vec<String> = {
+            let mut inner = self.lock();
+            let now = Instant::now();
+            inner.leases.retain(|_, (until, _)| *until > now);
+            let leases = &inner.leases;
+            let ended = |lease: &LeaseId| *lease != 0 && !leases.contains_key(lease);
+            let items = inner.items.iter();
+            items
+                .filter(|(_, (_, lease))| ended(lease))
+                .map(|(key, _)| key.clone())
+                .collect()
+        };
+        if !removals.is_empty() {
+            self.change(Change {
+                removals,
+                ..Change::default()
+            });
+        }
+    }
+}
+
+async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> Reply {
+    let fault = {
+        let mut inner = shared.lock();
+        inner.calls += 1;
+        inner.fault
+    };
+    match fault {
+        Fault::None => execute(&shared, request).await,
+        Fault::Reset => Err(cut()),
+        Fault::Silent => std::future::pending().await,
+        Fault::Busy => Ok(answer(StatusCode::TOO_MANY_REQUESTS, "")),
+        Fault::LosesAnswers => {
+            execute(&shared, request).await?;
+            Err(cut())
+        }
+        Fault::Slow(delay) => {
+            tokio::time::sleep(delay).await;
+            execute(&shared, request).await
+        }
+    }
+}
+
+async fn execute(shared: &Arc<Shared>, request: Request<Incoming>) -> Reply {
+    let (head, body) = request.into_parts();
+    let path = head.uri.path();
+    let prefix = query(&head.uri, "prefix").unwrap_or_default();
+    let after = query(&head.uri, "after");
+    let number = |text: Option<String>| text.and_then(|t| t.parse().ok()).unwrap_or(0);
+    let lease = |base| path.strip_prefix(base).and_then(|id| id.parse().ok());
+    if head.method == Method::GET && path == LIST_PATH {
+        return Ok(list(shared, &prefix, after));
+    }
+    if head.method == Method::GET && path == WATCH_PATH {
+        let wait = Duration::from_millis(number(query(&head.uri, "waitMs")));
+        return Ok(watch_changes(shared, &prefix, number(after), wait).await);
+    }
+    let body = read_body(body).await?;
+    if path == CHANGE_PATH {
+        let Some(change) = serve::decode_change(&body) else {
+            return Ok(answer(StatusCode::BAD_REQUEST, ""));
+        };
+        let known = |lease: &LeaseId| *lease == 0 || shared.lock().leases.contains_key(lease);
+        if !change.writes.iter().all(|(_, _, lease)| known(lease)) {
+            return Ok(answer(StatusCode::NOT_FOUND, ""));
+        }
+        return Ok(match shared.change(change) {
+            Some(revision) => answer(StatusCode::OK, serve::encode_changed(revision)),
+            None => answer(StatusCode::PRECONDITION_FAILED, ""),
+        });
+    }
+    if path == LEASE_PATH {
+        let Some(ttl_ms) = serve::decode_lease_ttl_ms(&body) else {
+            return Ok(answer(StatusCode::BAD_REQUEST, ""));
+        };
+        let ttl = Duration::from_millis(ttl_ms);
+        let mut inner = shared.lock();
+        inner.last_lease += 1;
+        let id = inner.last_lease;
+        inner.leases.insert(id, (Instant::now() + ttl, ttl));
+        return Ok(answer(StatusCode::OK, serve::encode_lease(id, ttl_ms)));
+    }
+    if let Some(id) = lease(KEEP_PATH) {
+        let mut inner = shared.lock();
+        return Ok(match inner.leases.get_mut(&id) {
+            Some((until, ttl)) => {
+                *until = Instant::now() + *ttl;
+                answer(StatusCode::OK, "{}")
+            }
+            None => answer(StatusCode::NOT_FOUND, ""),
+        });
+    }
+    if let Some(id) = lease(LEASE_END_PATH) {
+        shared.lock().leases.remove(&id);
+        shared.end_leases();
+        return Ok(answer(StatusCode::OK, "{}"));
+    }
+    Ok(answer(StatusCode::NOT_FOUND, ""))
+}
+
+fn list(
+    shared: &Shared,
+    prefix: &str,
+    after: Option<String>,
+) -> http::Response<http_body_util::Full<bytes::Bytes>> {
+    let inner = shared.lock();
+    let mut records: Vec<Record> = inner
+        .items
+        .values()
+        .map(|(record, _)| record)
+        .filter(|record| record.key.starts_with(prefix))
+        .filter(|record| after.as_ref().is_none_or(|after| record.key > *after))
+        .take(PAGE_ITEMS + 1)
+        .cloned()
+        .collect();
+    let more = records.len() > PAGE_ITEMS;
+    records.truncate(PAGE_ITEMS);
+    answer(
+        StatusCode::OK,
+        serve::encode_page(&records, more, inner.revision),
+    )
+}
+
+async fn watch_changes(
+    shared: &Arc<Shared>,
+    prefix: &str,
+    after: Revision,
+    wait: Duration,
+) -> http::Response<http_body_util::Full<bytes::Bytes>> {
+    let mut changed = shared.changed.subscribe();
+    let ends = tokio::time::Instant::now() + wait;
+    loop {
+        {
+            let inner = shared.lock();
+            if after < inner.compacted {
+                return answer(StatusCode::GONE, "");
+            }
+            let news = |r: &&Record| r.revision > after && r.key.starts_with(prefix);
+            let events: Vec<Record> = inner.history.iter().filter(news).cloned().collect();
+            if !events.is_empty() || tokio::time::Instant::now() >= ends {
+                let body = serve::encode_events(&events, inner.revision.max(after));
+                return answer(StatusCode::OK, body);
+            }
+        }
+        // Ends with the wait or with a change.
+        let _ = tokio::time::timeout_at(ends, changed.changed()).await;
+    }
+}
