End a stop only when every caller has its whole answer; keep no borrow across a pause

It now waits for the callers' connections, which end after their last byte. Test that failed first: stop_waits_until_a_slow_caller_has_the_whole_answer. Test that failed first: reload_while_changes_arrive_does_not_end_the_process.

--- /dev/null
+++ b/cli/src/cmd/diff.rs
@@ -0,0 +1,65 @@
+//! lacewingmoor diff OLD.yaml NEW.yaml [--json]
+//!
+//! Shows what differs between two bundle documents.
+
+use std::fmt;
+use std::path::PathBuf;
+
+use argh::FromArgs;
+use lacewingmoor_bundle::{Change, diff};
+use lacewingmoor_derive::raw;
+
+use crate::error::{Error, Exit};
+use crate::util::{Answer, read_bundle};
+
+/// Show what differs between two bundle documents.
+#[derive(FromArgs)]
+#[argh(
+    subcommand,
+    name = "diff",
+    example = "{command_name} old.yaml new.yaml"
+)]
+pub struct Args {
+    /// old bundle document
+    #[argh(positional)]
+    old: PathBuf,
+
+    /// new bundle document
+    #[argh(positional)]
+    new: PathBuf,
+
+    /// print JSON
+    #[argh(switch)]
+    pub json: bool,
+}
+
+/// Runs the command.
+///
+/// # Errors
+///
+/// Errors of reading the documents.
+pub fn run(args: &Args) -> Result<Answer, Error> {
+    let old = read_bundle("read old bundle", &args.old)?;
+    let new = read_bundle("read new bundle", &args.new)?;
+    let report = Report {
+        changes: diff(&old, &new),
+    };
+    Ok(Answer::new(&report, Exit::Ok))
+}
+
+#[raw]
+struct Report {
+    changes: Vec<Change>,
+}
+
+impl fmt::Display for Report {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        if self.changes.is_empty() {
+            return writeln!(f, "no differences");
+        }
+        for change in &self.changes {
+            writeln!(f, "{change}")?;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/cli/tests/commands.rs
@@ -0,0 +1,116 @@
+//! Guards against commands that miss faults, hide errors or end with the wrong exit code.
+
+use std::path::PathBuf;
+use std::process::{Command, Output};
+
+use rstest::rstest;
+
+fn root(path: &str) -> String {
+    let root = PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("..");
+    root.join(path).display().to_string()
+}
+
+fn run(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_lacewingmoor"))
+        .args(args)
+        .output()
+        .expect("the command starts")
+}
+
+fn text(output: &Output) -> String {
+    let out = String::from_utf8_lossy(&output.stdout);
+    let err = String::from_utf8_lossy(&output.stderr);
+    format!("{out}{err}")
+}
+
+#[test]
+fn files_of_the_repository_have_no_faults() {
+    let output = run(&[
+        "check",
+        "--bundle",
+        &root("examples/pool.bundle.yaml"),
+        "--settings",
+        &root("examples/entry.settings.yaml"),
+        "--template",
+        &root("deploy/entry.yaml.in"),
+    ]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+}
+
+#[test]
+fn faults_of_all_files_are_shown_with_file_and_line() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let settings = dir.path().join("entry.yaml");
+    let good = std::fs::read_to_string(root("examples/entry.settings.yaml")).expect("the example");
+    let bad = good
+        .replace("callers: 127.0.0.1:8080", "callers: localhost")
+        .replace("grace_s: 6", "grace_s: 0");
+    std::fs::write(&settings, bad).expect("writable");
+    let template = dir.path().join("entry.yaml.in");
+    std::fs::write(&template, "node: {{nodeName}}\nzone: {{zome}}\n").expect("writable");
+    let settings = settings.display().to_string();
+    let template = template.display().to_string();
+    let output = run(&["check", "--settings", &settings, "--template", &template]);
+    let shown = text(&output);
+    assert_eq!(output.status.code(), Some(1), "{shown}");
+    for fault in [
+        "entry.yaml:8: callers",
+        "entry.yaml:15: grace_s",
+        "entry.yaml.in:2: \"zome\"",
+    ] {
+        assert!(shown.contains(fault), "{fault} in {shown}");
+    }
+}
+
+#[rstest]
+#[case::no_command(&[], 2)]
+#[case::no_file(&["check"], 2)]
+#[case::missing_file(&["check", "--bundle", "no-such-file"], 2)]
+#[case::unknown_option(&["check", "--bundel", "x"], 2)]
+#[case::no_address(&["status"], 2)]
+#[case::nobody_answers(&["status", "127.0.0.1:1"], 1)]
+#[case::no_logs(&["trace", "x"], 2)]
+#[case::help(&["--help"], 0)]
+fn exit_codes_tell_what_went_wrong(#[case] args: &[&str], #[case] code: i32) {
+    let output = run(args);
+    assert_eq!(output.status.code(), Some(code), "{}", text(&output));
+}
+
+#[test]
+fn rendered_bundle_is_json_for_the_store() {
+    let output = run(&["render", &root("examples/pool.bundle.yaml")]);
+    assert_eq!(output.status.code(), Some(0), "{}", text(&output));
+    let value: serde_json::Value = serde_json::from_slice(&output.stdout).expect("JSON");
+    assert!(value.is_object());
+}
+
+const LOG: &str = "\
+  3.1 edge-1 time_ms=1000 level=info event=source_lost source=Store cause=\"no answer\" node=edge-1
+time_ms=2000 level=info event=attempt_failed request=r-1 target=t-1 outcome=Broken why=\"lost: connection \\\"x\\\"\" next=Unknown node=edge-1
+time_ms=2001 level=info event=request request=r-1 route=book version=7 status=502 reason=\"outcome unknown\" attempts=1 rounds=1 target=t-1 ahead=2 slots=4 pace=1 sent_ms=3 expected_ms=210 last_failure=\"\" ms=230 node=edge-1
+time_ms=2500 level=info event=target target=t-1 change=Left node=edge-1
+time_ms=2500 level=info event=target target=t-2 change=Left node=edge-1
+time_ms=2600 level=info event=target target=t-1 change=Left node=edge-2
+";
+
+#[test]
+fn trace_leads_from_an_id_to_the_cause() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let log = dir.path().join("edge.log");
+    std::fs::write(&log, LOG).expect("writable");
+    let log = log.display().to_string();
+    let output = run(&["trace", "r-1", &log]);
+    let shown = text(&output);
+    assert_eq!(output.status.code(), Some(0), "{shown}");
+    assert!(shown.contains("target t-1 may have run it"), "{shown}");
+    assert!(shown.contains("lost: connection"), "{shown}");
+    assert!(shown.contains("event=source_lost") && shown.contains("target=t-1 change=Left"));
+    assert!(
+        !shown.contains("target=t-2") && !shown.contains("node=edge-2"),
+        "{shown}"
+    );
+    let json = run(&["trace", "r-1", &log, "--json"]);
+    let value: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
+    assert_eq!(value["about"].as_array().map(Vec::len), Some(2));
+    assert_eq!(run(&["trace", "r-2", &log]).status.code(), Some(1));
+}
--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -25,21 +25,12 @@
 /// Pause after a connection could not be accepted, such as for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Interval at which the end of accepting is checked while the process leaves.
-const PHASE_CHECK: Duration = Duration::from_millis(100);
-
 /// Accepts connections until the stop has reached its finishing phase.
 pub async fn accept(node: Rc<Node>, listener: TcpListener) {
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = tokio::time::sleep(PHASE_CHECK), if node.phase() != Phase::Running => {
-                if node.phase() >= Phase::Finishing {
-                    return;
-                }
-                continue;
-            }
-            () = left(&node), if node.phase() == Phase::Running => continue,
+            () = node.reached(Phase::Finishing) => return,
         };
         match accepted {
             Ok((stream, _)) => {
@@ -53,11 +44,22 @@
     }
 }
 
-/// Waits until the process is to stop.
-async fn left(node: &Node) {
-    let mut leaving = node.leaving();
-    // The sender lives as long as the node.
-    let _ = leaving.wait_for(|leaving| *leaving).await;
+/// Counts an open connection.
+struct Open(Rc<Node>);
+
+impl Open {
+    fn new(node: &Rc<Node>) -> Self {
+        let open = &node.caller_connections;
+        open.set(open.get() + 1);
+        Self(node.clone())
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        let open = &self.0.caller_connections;
+        open.set(open.get() - 1);
+    }
 }
 
 /// When a connection last became idle; `None` while a request is served.
@@ -65,6 +67,7 @@
 
 /// Serves the requests of one connection until either side closes it.
 async fn serve(node: Rc<Node>, stream: TcpStream) {
+    let _open = Open::new(&node);
     if let Err(error) = stream.set_nodelay(true) {
         debug!(node.log, "caller_lost"; "cause" => %error);
         return;
@@ -102,9 +105,13 @@
     tokio::pin!(connection);
     // A connection that is accepted while the process leaves is closed by its first answer; to close
     // it before would send the caller away unserved.
-    let mut closing = node.phase() != Phase::Running;
-    let left = left(&node);
-    tokio::pin!(left);
+    let close_in = match node.phase() {
+        Phase::Running => Phase::Leaving,
+        Phase::Leaving | Phase::Finishing | Phase::Ended => Phase::Finishing,
+    };
+    let mut closing = false;
+    let close = node.reached(close_in);
+    tokio::pin!(close);
     loop {
         tokio::select! {
             result = connection.as_mut() => {
@@ -113,7 +120,7 @@
                 }
                 return;
             }
-            () = &mut left, if !closing => {
+            () = &mut close, if !closing => {
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -1,6 +1,6 @@
 //! State of the process that its tasks share. All tasks run on one thread.
 
-use std::cell::{Cell, Ref, RefCell};
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -74,10 +74,12 @@
     pub rng: RefCell<StdRng>,
     /// Requests in flight.
     pub in_flight: Cell<usize>,
-    tuning: RefCell<Tuning>,
+    /// Open connections of callers.
+    pub caller_connections: Cell<usize>,
+    tuning: RefCell<Rc<Tuning>>,
     started_at: Instant,
     stop: RefCell<Stop>,
-    leaving: watch::Sender<bool>,
+    phases: watch::Sender<Phase>,
     news: watch::Sender<()>,
 }
 
@@ -111,10 +113,11 @@
             queue: Queue::default(),
             rng: RefCell::new(rand::make_rng()),
             in_flight: Cell::new(0),
-            tuning: RefCell::new(settings.tuning.clone()),
+            caller_connections: Cell::new(0),
+            tuning: RefCell::new(Rc::new(settings.tuning.clone())),
             started_at: Instant::now(),
             stop: RefCell::default(),
-            leaving: watch::Sender::new(false),
+            phases: watch::Sender::new(Phase::Running),
             news: watch::Sender::new(()),
             settings,
         })
@@ -131,14 +134,14 @@
     }
 
     /// Returns the settings that a reload changes.
-    pub fn tuning(&self) -> Ref<'_, Tuning> {
-        self.tuning.borrow()
+    pub fn tuning(&self) -> Rc<Tuning> {
+        self.tuning.borrow().clone()
     }
 
     /// Puts reloaded settings in force.
     pub fn retune(&self, tuning: Tuning) {
         log::set_rate(tuning.log_lines_per_s);
-        self.tuning.replace(tuning);
+        self.tuning.replace(Rc::new(tuning));
     }
 
     /// Returns the bundle in force.
@@ -149,7 +152,7 @@
     /// Starts the graceful stop.
     pub fn begin_stop(&self) {
         self.stop.borrow_mut().begin(self.now());
-        self.leaving.send_replace(true);
+        self.phases.send_replace(Phase::Leaving);
     }
 
     /// Returns the phase of the process.
@@ -158,9 +161,16 @@
         self.stop.borrow().phase(self.now(), grace)
     }
 
-    /// Returns a receiver that turns true when the process is to stop.
-    pub fn leaving(&self) -> watch::Receiver<bool> {
-        self.leaving.subscribe()
+    /// Tells tasks that the process finishes what it has begun.
+    pub fn begin_finish(&self) {
+        self.phases.send_replace(Phase::Finishing);
+    }
+
+    /// Waits until the process has reached a phase.
+    pub async fn reached(&self, phase: Phase) {
+        let mut phases = self.phases.subscribe();
+        // The sender lives as long as the node.
+        let _ = phases.wait_for(|current| *current >= phase).await;
     }
 
     /// Returns true if callers may be sent here.
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -83,7 +83,8 @@
     let ended = tokio::time::timeout(STOP_CHECK, registration).await;
     info!(
         node.log, "stopped";
-        "in_flight" => node.in_flight.get(), "registration_ended" => ended.is_ok(),
+        "in_flight" => node.in_flight.get(),
+        "connections" => node.caller_connections.get(), "registration_ended" => ended.is_ok(),
     );
     log::write_out();
     Ok(())
@@ -148,8 +149,14 @@
     loop {
         match node.phase() {
             Phase::Ended => return,
-            Phase::Finishing if node.in_flight.get() == 0 => return,
-            Phase::Running | Phase::Leaving | Phase::Finishing => {}
+            Phase::Finishing => {
+                node.begin_finish();
+                // Connections end once the last byte of their answer is written.
+                if node.caller_connections.get() == 0 {
+                    return;
+                }
+            }
+            Phase::Running | Phase::Leaving => {}
         }
         tokio::time::sleep(STOP_CHECK).await;
     }
--- a/entry/src/register.rs
+++ b/entry/src/register.rs
@@ -21,7 +21,6 @@
 pub async fn keep(node: Rc<Node>) {
     let mut client = Client::new(&node);
     let mut lease: Option<LeaseId> = None;
-    let mut leaving = node.leaving();
     while node.phase() == Phase::Running {
         let result = match lease {
             Some(id) => renew(&mut client, id).await.map(|()| id),
@@ -43,7 +42,7 @@
         }
         tokio::select! {
             () = tokio::time::sleep(RENEW_INTERVAL) => {}
-            _ = leaving.wait_for(|leaving| *leaving) => {}
+            () = node.reached(Phase::Leaving) => {}
         }
     }
     if let Some(id) = lease {
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -275,7 +275,8 @@
                     ));
                 }
                 Next::PassOn => {
-                    let answer = failed.answer.map(|(head, body)| {
+                    let answer = failed.answer.map(|answer| {
+                        let (head, body) = *answer;
                         Response::from_parts(head, AnswerBody::Whole(Some(body)))
                     });
                     return answer.ok_or(Own::unknown(StatusCode::BAD_GATEWAY, "target failed"));
--- a/entry/src/send.rs
+++ b/entry/src/send.rs
@@ -35,7 +35,7 @@
     /// Why, for the log.
     pub why: String,
     /// The target's own failure, to be passed on if nothing better comes.
-    pub answer: Option<(response::Parts, Bytes)>,
+    pub answer: Option<Box<(response::Parts, Bytes)>>,
 }
 
 impl Failed {
@@ -207,7 +207,7 @@
             if head.status.is_server_error() {
                 let why = format!("status {}", head.status.as_u16());
                 let mut failed = Failed::new(Outcome::Failed, why);
-                failed.answer = Some((head, read));
+                failed.answer = Some(Box::new((head, read)));
                 return Err(failed);
             }
             return Ok(Response::from_parts(head, AnswerBody::Whole(Some(read))));
--- /dev/null
+++ b/entry/tests/log.rs
@@ -0,0 +1,77 @@
+//! Guards against logs that grow without bound, hide what they left out, or can be forged.
+
+mod common;
+
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use common::{answer, fleet, lanes, read, until};
+use lacewingmoor_standin::caller::{Call, call};
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_is_logged_with_what_decided_it() {
+    let fleet = fleet(&lanes(), 1).await;
+    answer(&fleet.entries[0], &read("r-1")).await;
+    until("the line is written", async || {
+        fleet.entries[0].log_text().contains("request=r-1")
+    })
+    .await;
+    let log = fleet.entries[0].log_text();
+    let line = log
+        .lines()
+        .find(|l| l.contains("event=request") && l.contains("request=r-1"));
+    let line = line.expect("the line");
+    for key in [
+        "route=",
+        "version=1",
+        "status=200",
+        "target=",
+        "ahead=",
+        "pace=",
+        "ms=",
+    ] {
+        assert!(line.contains(key), "{key} in {line}");
+    }
+    assert!(log.contains("event=start") && log.contains("event=bundle_in_force"));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn lines_above_the_rate_are_counted_not_written() {
+    let fleet = fleet(&lanes(), 1).await;
+    let entry = &fleet.entries[0];
+    let settings = std::fs::read_to_string(&entry.settings).expect("the settings");
+    let mut value: serde_json::Value = serde_json::from_str(&settings).expect("JSON");
+    value["log"] = serde_json::json!({ "lines_per_s": 5 });
+    std::fs::write(&entry.settings, value.to_string()).expect("writable");
+    entry.signal(libc::SIGHUP);
+    until("the reload is applied", async || {
+        entry.log_text().contains("event=reload")
+    })
+    .await;
+    let sent = AtomicU64::new(0);
+    until("lines are left out", async || {
+        for _ in 0..50 {
+            let id = format!("r-{}", sent.fetch_add(1, Ordering::Relaxed));
+            answer(entry, &read(&id)).await;
+        }
+        entry.log_text().contains("event=log_lines_left_out")
+    })
+    .await;
+    let written = entry.log_text().matches("event=request ").count() as u64;
+    assert!(written < sent.load(Ordering::Relaxed));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn text_of_callers_cannot_forge_lines() {
+    let fleet = fleet(&lanes(), 1).await;
+    let entry = &fleet.entries[0];
+    let request = Call {
+        id: "x event=start \"y".into(),
+        ..read("")
+    };
+    call(entry.callers, &request).await;
+    until("the line is written", async || {
+        entry.log_text().contains("event=request ")
+    })
+    .await;
+    assert!(entry.log_text().contains("request=\"x event=start \\\"y\""));
+}
--- a/entry/tests/recovery.rs
+++ b/entry/tests/recovery.rs
@@ -250,3 +250,50 @@
         StatusCode::OK
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn stop_waits_until_a_slow_caller_has_the_whole_answer() {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let plan = ServicePlan {
+        answer_bytes: 16 << 20,
+        ..lanes()
+    };
+    let mut fleet = fleet(&plan, 1).await;
+    let stream = tokio::net::TcpStream::connect(fleet.entries[0].callers).await;
+    let mut stream = stream.expect("the entry accepts");
+    let head = format!(
+        "GET /lanes/read/1 HTTP/1.1\r\nHost: {}\r\nX-Lacewingmoor-Attempt-Id: r-1\r\n\r\n",
+        lacewingmoor_standin::fleet::HOST
+    );
+    stream.write_all(head.as_bytes()).await.expect("it is read");
+    until("the request runs", async || {
+        common::runs(&fleet, "r-1") == 1
+    })
+    .await;
+    fleet.entries[0].signal(libc::SIGTERM);
+    // Longer than the time for which connections are accepted.
+    tokio::time::sleep(Duration::from_millis(3200)).await;
+    let mut bytes = Vec::new();
+    let read = stream.read_to_end(&mut bytes).await;
+    assert!(read.is_ok(), "{read:?}");
+    assert!(bytes.len() > 16 << 20, "{} bytes came", bytes.len());
+    assert!(fleet.entries[0].wait(PATIENCE));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reload_while_changes_arrive_does_not_end_the_process() {
+    let fleet = fleet(&lanes(), 1).await;
+    let entry = &fleet.entries[0];
+    for _ in 0..40 {
+        fleet.store.put_target(&fleet.targets[0].registration);
+        tokio::time::sleep(Duration::from_millis(15)).await;
+        entry.signal(libc::SIGHUP);
+        tokio::time::sleep(Duration::from_millis(15)).await;
+    }
+    assert_eq!(answer(entry, &read("r-1")).await.status, StatusCode::OK);
+    assert!(
+        !entry.log_text().contains("panicked"),
+        "{}",
+        entry.log_text()
+    );
+}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -10,6 +10,7 @@
 use hyper::body::Incoming;
 use lacewingmoor_bundle::RawBundle;
 use lacewingmoor_control::facts::{Record, Revision, Target};
+use lacewingmoor_platform::config;
 use lacewingmoor_platform::registry::{CONFIG_KEY, EVACUATE_PREFIX, SERVERS_PREFIX};
 use lacewingmoor_platform::serve::{self, Change};
 use lacewingmoor_platform::store::{
@@ -131,7 +132,7 @@
 
     /// Writes a bundle as operators do.
     pub fn put_bundle(&self, bundle: &RawBundle) {
-        self.put(CONFIG_KEY, serve::encode_config(bundle));
+        self.put(CONFIG_KEY, config::encode(bundle));
     }
 
     /// Writes the registration of a target.
