Let the first entry of a zone turn to the store before the others

Now limits differ by level, a source that was only old is tried again after 1 s, and the first watch of a new reader does not wait.

--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -12,7 +12,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use lacewingmoor_derive::value;
+use lacewingmoor_derive::{tag, value};
 
 use crate::facts::{Node, NodeName};
 use crate::view::View;
@@ -21,6 +21,18 @@
 /// Time for which an entry that failed as a source is left alone.
 const PEER_COOLDOWN: Duration = Duration::from_secs(4);
 
+/// Time for which an entry whose knowledge had become old is left alone. Often it was the store
+/// that paused, and the entry has caught up since.
+const OLD_COOLDOWN: Duration = Duration::from_secs(1);
+
+/// Age of a source's knowledge, relative to the time within which changes must be in force, above
+/// which it is not followed.
+const AGE_MAX_SHARE: f64 = 0.7;
+
+/// The same for a source in the own zone. The first entry of a zone turns to the store before the
+/// others do, so that a store that pauses is not called by the whole fleet.
+const AGE_MAX_SHARE_IN_ZONE: f64 = 0.85;
+
 /// Time for which the store is left alone after a failure.
 const STORE_COOLDOWN: Duration = Duration::from_millis(700);
 
@@ -39,6 +51,23 @@
     Seed(SocketAddr),
 }
 
+/// How a source failed.
+#[tag]
+pub enum Failure {
+    /// It is silent, broke off or cannot be reached.
+    Lost,
+    /// It has lost the store itself.
+    Old,
+}
+
+/// Returns the age of a source's knowledge above which it is not followed.
+pub fn age_max(apply: Duration, in_zone: bool) -> Duration {
+    apply.mul_f64(match in_zone {
+        true => AGE_MAX_SHARE_IN_ZONE,
+        false => AGE_MAX_SHARE,
+    })
+}
+
 /// Sources that failed lately.
 #[derive(Clone, Debug, Default)]
 pub struct Sources {
@@ -46,11 +75,12 @@
 }
 
 impl Sources {
-    /// Notes that a source failed.
-    pub fn failed(&mut self, now: Now, source: &Source) {
-        let cooldown = match source {
-            Source::Store => STORE_COOLDOWN,
-            Source::Peer(_) | Source::Seed(_) => PEER_COOLDOWN,
+    /// Notes that a source failed, or that its knowledge became old.
+    pub fn failed(&mut self, now: Now, source: &Source, failure: Failure) {
+        let cooldown = match (source, failure) {
+            (Source::Store, _) => STORE_COOLDOWN,
+            (_, Failure::Lost) => PEER_COOLDOWN,
+            (_, Failure::Old) => OLD_COOLDOWN,
         };
         self.cooldown_until.insert(source.clone(), now + cooldown);
     }
--- a/control/tests/source.rs
+++ b/control/tests/source.rs
@@ -5,7 +5,7 @@
 
 use common::{ms, node, node_registered};
 use lacewingmoor_control::facts::Node;
-use lacewingmoor_control::source::{Source, Sources};
+use lacewingmoor_control::source::{Failure, Source, Sources, age_max};
 use lacewingmoor_control::view::View;
 use rstest::rstest;
 
@@ -65,7 +65,7 @@
 fn source_follows_rank_and_failures(#[case] case: Case) {
     let mut sources = Sources::default();
     for source in &case.failed {
-        sources.failed(ms(0), source);
+        sources.failed(ms(0), source, Failure::Lost);
     }
     let chosen = sources.choose(ms(100), &view(), &own(case.own), &[SEED.into()]);
     assert_eq!(chosen, case.chosen);
@@ -93,7 +93,7 @@
 #[test]
 fn entry_that_knows_nobody_starts_from_a_seed_while_the_store_is_away() {
     let mut sources = Sources::default();
-    sources.failed(ms(0), &Source::Store);
+    sources.failed(ms(0), &Source::Store, Failure::Lost);
     let chosen = sources.choose(ms(10), &View::default(), &own("n1"), &[SEED.into()]);
     assert_eq!(chosen, Source::Seed(SEED.into()));
 }
@@ -101,7 +101,7 @@
 #[test]
 fn failed_source_is_tried_again_later() {
     let mut sources = Sources::default();
-    sources.failed(ms(0), &peer("n1"));
+    sources.failed(ms(0), &peer("n1"), Failure::Lost);
     assert_eq!(
         sources.choose(ms(100), &view(), &own("n2"), &[]),
         Source::Store
@@ -111,3 +111,28 @@
         peer("n1")
     );
 }
+
+#[test]
+fn first_of_a_zone_turns_to_the_store_before_the_others_do() {
+    let apply = ms(2000);
+    assert!(age_max(apply, false) < age_max(apply, true));
+    assert!(
+        age_max(apply, true) < apply,
+        "a change must still arrive in time"
+    );
+}
+
+#[test]
+fn source_whose_knowledge_was_old_is_tried_again_sooner() {
+    let mut sources = Sources::default();
+    sources.failed(ms(0), &peer("n1"), Failure::Old);
+    assert_eq!(
+        sources.choose(ms(1500), &view(), &own("n2"), &[]),
+        peer("n1")
+    );
+    sources.failed(ms(1500), &peer("n1"), Failure::Lost);
+    assert_eq!(
+        sources.choose(ms(3000), &view(), &own("n2"), &[]),
+        Source::Store
+    );
+}
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -26,8 +26,8 @@
 /// Idle connections kept for one address.
 const IDLE_PER_ADDR_MAX: usize = 3;
 
-/// Read and write buffer of a connection; answers stream through it.
-const BUFFER_BYTES: usize = 16 * 1024;
+/// Read buffer of a connection. There are hundreds of idle ones, and answers stream through it.
+const BUFFER_BYTES: usize = 4 * 1024;
 
 quick_error! {
     /// Why a request got no answer.
@@ -100,7 +100,7 @@
             .set_tcp_user_timeout(Some(UNACKNOWLEDGED_MAX))
             .map_err(Error::Connect)?;
         let (sender, driver) = http1::Builder::new()
-            .max_buf_size(BUFFER_BYTES)
+            .read_buf_exact_size(Some(BUFFER_BYTES))
             .handshake(TokioIo::new(stream))
             .await
             .map_err(Error::Handshake)?;
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -6,7 +6,7 @@
 use lacewingmoor_control::Now;
 use lacewingmoor_control::facts::{Record, Revision};
 use lacewingmoor_control::ledger::Update;
-use lacewingmoor_control::source::{Source, Sources};
+use lacewingmoor_control::source::{Failure, Source, Sources};
 use lacewingmoor_control::view::Effect;
 use lacewingmoor_platform::registry::{self, FOLLOWED_PREFIX};
 use lacewingmoor_platform::store::{self, Currency};
@@ -21,7 +21,7 @@
 /// Part of the time within which changes must be in force that one watch waits. A store that fell
 /// silent is noticed after this and the time-out of the answer, so that there is still time to
 /// learn of a change from another source.
-const WATCH_WAIT_SHARE: f64 = 0.35;
+const WATCH_WAIT_SHARE: f64 = 0.3;
 
 /// Pause after a watch that brought changes, as a part of the time within which changes must be in
 /// force, so that a series of changes costs few calls.
@@ -84,22 +84,26 @@
         let end = match &source {
             Source::Store => follow_store(&node, &sources).await,
             Source::Peer(name) => follow_peer(&node, name).await,
-            Source::Seed(addr) => peer::follow(&node, *addr).await.into(),
+            Source::Seed(addr) => peer::follow(&node, *addr, false).await.into(),
         };
-        match end {
+        let failure = match &end {
             Error::BetterSource => continue,
-            error => warn!(node.log, "source_lost"; "source" => ?source, "cause" => %error),
-        }
-        sources.failed(node.now(), &source);
+            Error::Feed(feed::Error::Old(_) | feed::Error::Circular) => Failure::Old,
+            _ => Failure::Lost,
+        };
+        warn!(node.log, "source_lost"; "source" => ?source, "cause" => %end);
+        sources.failed(node.now(), &source, failure);
         let factor = 1.0 + node.rng.borrow_mut().random::<f64>();
         tokio::time::sleep(SWITCH_PAUSE.mul_f64(factor)).await;
     }
 }
 
 async fn follow_peer(node: &Rc<Node>, name: &str) -> Error {
-    let addr = node.view.borrow().node(name).map(|peer| peer.addr);
-    match addr {
-        Some(addr) => peer::follow(node, addr).await.into(),
+    let peer = node.view.borrow().node(name).cloned();
+    match peer {
+        Some(peer) => peer::follow(node, peer.addr, peer.zone == node.here.zone)
+            .await
+            .into(),
         None => Error::NotRegistered,
     }
 }
@@ -107,6 +111,8 @@
 /// Follows the store until it fails.
 async fn follow_store(node: &Rc<Node>, sources: &Sources) -> Error {
     let mut client = Client::new(node);
+    // The first watch only asks whether there is news, so that followers need not wait for it.
+    let mut wait = Duration::ZERO;
     let mut starting = node.ledger.borrow().revision() == 0;
     // Entries that start together know of each other once all have registered.
     let mut better_check_at = node.now();
@@ -117,7 +123,7 @@
         };
         let read = match step {
             Step::List => list(node, &mut client, Currency::Recent).await,
-            Step::Watch(revision) => watch(node, &mut client, revision).await,
+            Step::Watch(revision) => watch(node, &mut client, revision, wait).await,
         };
         let (read_at, update) = match read {
             Ok(read) => read,
@@ -130,6 +136,7 @@
             }
             Err(error) => return error.into(),
         };
+        wait = node.tuning().apply.mul_f64(WATCH_WAIT_SHARE);
         let changed = !update.records.is_empty();
         node.follows_store(read_at);
         learn(node, update);
@@ -150,7 +157,7 @@
 
 enum Step {
     List,
-    Watch(u64),
+    Watch(Revision),
 }
 
 /// Reads all keys. Returns when the first page was asked for, and the records.
@@ -197,9 +204,9 @@
 async fn watch(
     node: &Rc<Node>,
     client: &mut Client,
-    after: u64,
+    after: Revision,
+    wait: Duration,
 ) -> Result<(Now, Update), StoreError> {
-    let wait = node.tuning().apply.mul_f64(WATCH_WAIT_SHARE);
     let request = store::watch(&client.host(), FOLLOWED_PREFIX, after, wait);
     let (status, body) = client.call("watch", request, wait).await?;
     let events = store::decode_events(status, &body)?;
@@ -235,6 +242,8 @@
         return;
     }
     node.confirmed_at.set(confirmed_at);
+    // Each step from the store to the last follower would otherwise add an interval to the age.
+    node.tell_followers();
     if before > Now::ZERO && confirmed_at - before > OUTAGE_MIN {
         info!(
             node.log, "knowledge_regained";
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use lacewingmoor_control::source::age_max;
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -18,25 +19,21 @@
 /// Time without a message after which a source counts as lost.
 const SILENCE_MAX: Duration = Duration::from_millis(900);
 
-/// Age of a source's knowledge, relative to the time within which changes must be in force, above
-/// which it is not followed.
-const AGE_MAX_SHARE: f64 = 0.75;
-
 /// Time that a follower may take to read a message.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
-/// Follows another entry until it fails.
-pub async fn follow(node: &Rc<Node>, addr: SocketAddr) -> Error {
-    match try_follow(node, addr).await {
+/// Follows another entry until it fails. `in_zone` tells that it is of the own zone.
+pub async fn follow(node: &Rc<Node>, addr: SocketAddr, in_zone: bool) -> Error {
+    match try_follow(node, addr, in_zone).await {
         Ok(never) => match never {},
         Err(error) => error,
     }
 }
 
-async fn try_follow(node: &Rc<Node>, addr: SocketAddr) -> Result<Infallible, Error> {
+async fn try_follow(node: &Rc<Node>, addr: SocketAddr, in_zone: bool) -> Result<Infallible, Error> {
     let connect = TcpStream::connect(addr);
     let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, connect)
         .await
@@ -56,18 +53,18 @@
             .map_err(|_| Error::Silent("read"))??;
         match message {
             Message::Update(update) => follow::learn(node, update),
-            Message::Status(status) => check(node, status)?,
+            Message::Status(status) => check(node, status, in_zone)?,
         }
     }
 }
 
 /// Decides whether the source is still worth following.
-fn check(node: &Node, status: Status) -> Result<(), Error> {
+fn check(node: &Node, status: Status, in_zone: bool) -> Result<(), Error> {
     if status.origin == node.settings.node {
         return Err(Error::Circular);
     }
     let age = Duration::from_millis(status.age_ms);
-    if age > node.tuning().apply.mul_f64(AGE_MAX_SHARE) {
+    if age > age_max(node.tuning().apply, in_zone) {
         return Err(Error::Old(age));
     }
     node.follows_peer(status.origin, node.now().saturating_sub(age));
