Ask a familiar part of the targets first

Cause: on the grown sites an entry asked three of up to 80 targets a service at random, found no idle connection to most, and opened 37,880 connections for 18,156 requests.

--- a/control/src/place.rs
+++ b/control/src/place.rs
@@ -4,21 +4,27 @@
 //! every report is older than the state it tells of. A few targets are asked for their load right
 //! before the send, and the one that promises the earliest answer gets the request.
 
+use std::hash::{Hash as _, Hasher as _};
 use std::time::Duration;
 
 use lacewingmoor_bundle::Route;
 use lacewingmoor_derive::value;
 use rand::Rng;
 use rand::seq::SliceRandom as _;
+use rustc_hash::FxHasher;
 
 use crate::book::{Book, Load};
-use crate::facts::{RegionName, TargetId, ZoneName};
+use crate::facts::{NodeName, RegionName, TargetId, ZoneName};
 use crate::view::{Known, View};
 use crate::{Map, Now};
 
 /// Part of a target's slots up to which it works at full speed.
 const FULL_SPEED_SHARE: f64 = 0.8;
 
+/// Targets of a service in the own region that an entry asks first. With hundreds of targets, an
+/// entry that asked any of them would open a connection for nearly every question.
+const FAMILIAR_TARGETS: usize = 12;
+
 /// How much longer work takes on a target that is nearly full.
 const CROWDED_FACTOR: f64 = 1.7;
 
@@ -52,6 +58,18 @@
     pub zone: ZoneName,
     /// Region.
     pub region: RegionName,
+    /// Name of the entry, which decides the targets that it asks first.
+    pub node: NodeName,
+}
+
+impl Place {
+    /// Orders targets differently for each entry.
+    fn affinity(&self, id: &TargetId) -> u64 {
+        let mut hasher = FxHasher::default();
+        self.node.hash(&mut hasher);
+        id.hash(&mut hasher);
+        hasher.finish()
+    }
 }
 
 /// Which targets are asked.
@@ -108,6 +126,10 @@
         let mut pool = if sound.is_empty() { avoided } else { sound };
         if reach == Reach::Region && pool.iter().any(|k| k.target.region == self.here.region) {
             pool.retain(|k| k.target.region == self.here.region);
+            if pool.len() > FAMILIAR_TARGETS {
+                pool.sort_by_cached_key(|k| self.here.affinity(&k.target.id));
+                pool.truncate(FAMILIAR_TARGETS);
+            }
         }
         let (picked, _) = pool.partial_shuffle(rng, count);
         picked.iter().map(|k| k.target.id.clone()).collect()
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -111,6 +111,7 @@
     Place {
         zone: "north-a".into(),
         region: "north".into(),
+        node: "n".into(),
     }
 }
 
--- a/control/tests/place.rs
+++ b/control/tests/place.rs
@@ -8,7 +8,9 @@
 use lacewingmoor_control::Map;
 use lacewingmoor_control::book::{Book, Load};
 use lacewingmoor_control::facts::{Change, Fact, Subject, Target, TargetId};
-use lacewingmoor_control::place::{Offer, Query, Reach, Record, WorkTime, full_speed_slots, offer};
+use lacewingmoor_control::place::{
+    Offer, Place, Query, Reach, Record, WorkTime, full_speed_slots, offer,
+};
 use lacewingmoor_control::view::View;
 use rand::SeedableRng as _;
 use rand::rngs::StdRng;
@@ -233,3 +235,38 @@
     }
     assert!(work.get() < ms(150));
 }
+
+#[test]
+fn entry_asks_few_targets_of_many_and_each_entry_others() {
+    let targets = (0..60)
+        .map(|i| target(&format!("t{i}"), "north-a", "north"))
+        .collect();
+    let mut world = World::new(targets);
+    world.reach = Reach::Region;
+    let bundle = bundle(1, &[]);
+    let asked = |node: &str| {
+        let place = Place {
+            node: node.into(),
+            ..here()
+        };
+        let query = Query {
+            service: "lanes",
+            route: &bundle.routes[0],
+            warmup_rate: 7.0,
+            tried: &[],
+            here: &place,
+        };
+        let mut rng = StdRng::seed_from_u64(1);
+        let mut asked = std::collections::BTreeSet::new();
+        for _ in 0..200 {
+            let ids = query.candidates(ms(0), &world.view, &world.books, world.reach, 3, &mut rng);
+            asked.extend(ids);
+        }
+        asked
+    };
+    let all: std::collections::BTreeSet<TargetId> =
+        (0..40).flat_map(|i| asked(&format!("n{i}"))).collect();
+    assert!(asked("n1").len() <= 12);
+    assert!(asked("n1") != asked("n2"));
+    assert_eq!(all.len(), 60, "together they ask every target");
+}
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -89,6 +89,7 @@
         let here = Place {
             zone: settings.zone.as_str().into(),
             region: settings.region.as_str().into(),
+            node: settings.node.as_str().into(),
         };
         Rc::new(Self {
             own: facts::Node {
