--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -13,6 +13,8 @@
 use std::time::Duration;
 
 use lacewingmoor_derive::{tag, value};
+use rand::Rng;
+use rand::seq::SliceRandom as _;
 
 use crate::facts::{Node, NodeName};
 use crate::view::View;
@@ -33,6 +35,12 @@
 /// others do, so that a store that pauses is not called by the whole fleet.
 const AGE_MAX_SHARE_IN_ZONE: f64 = 0.85;
 
+/// Time, relative to the same, that a source may look for a source itself before it is left.
+const SEARCH_MAX_SHARE: f64 = 0.06;
+
+/// The same for a source in the own zone.
+const SEARCH_MAX_SHARE_IN_ZONE: f64 = 0.15;
+
 /// Time for which the store is left alone after a failure.
 const STORE_COOLDOWN: Duration = Duration::from_millis(700);
 
@@ -60,12 +68,26 @@
     Old,
 }
 
-/// Returns the age of a source's knowledge above which it is not followed.
-pub fn age_max(apply: Duration, in_zone: bool) -> Duration {
-    apply.mul_f64(match in_zone {
-        true => AGE_MAX_SHARE_IN_ZONE,
-        false => AGE_MAX_SHARE,
-    })
+/// What a source tells of itself.
+#[value]
+#[derive(Copy, Eq)]
+pub struct State {
+    /// Time since the store confirmed what it knows.
+    pub age: Duration,
+    /// Time for which it, or the source that it follows, has been looking for a source.
+    pub searching: Duration,
+}
+
+impl State {
+    /// Returns true if the source is worth following, for changes that must be in force within
+    /// `apply`. `in_zone` tells that it is of the own zone.
+    pub fn is_good(&self, apply: Duration, in_zone: bool) -> bool {
+        let (age_share, search_share) = match in_zone {
+            true => (AGE_MAX_SHARE_IN_ZONE, SEARCH_MAX_SHARE_IN_ZONE),
+            false => (AGE_MAX_SHARE, SEARCH_MAX_SHARE),
+        };
+        self.age <= apply.mul_f64(age_share) && self.searching <= apply.mul_f64(search_share)
+    }
 }
 
 /// Sources that failed lately.
@@ -86,11 +108,18 @@
     }
 
     /// Chooses the source to follow next, for the entry `own`.
-    pub fn choose(&mut self, now: Now, view: &View, own: &Node, seeds: &[SocketAddr]) -> Source {
+    pub fn choose(
+        &mut self,
+        now: Now,
+        view: &View,
+        own: &Node,
+        seeds: &[SocketAddr],
+        rng: &mut impl Rng,
+    ) -> Source {
         self.cooldown_until.retain(|_, until| *until > now);
         self.better(view, own)
             .or_else(|| self.usable(Source::Store))
-            .or_else(|| self.any_peer(view, own))
+            .or_else(|| self.any_peer(view, own, rng))
             .or_else(|| self.any_seed(own, seeds))
             .unwrap_or(Source::Store)
     }
@@ -114,12 +143,15 @@
             .find_map(|node| self.usable(Source::Peer(node.name.clone())))
     }
 
-    fn any_peer(&self, view: &View, own: &Node) -> Option<Source> {
-        let mut nodes = ranked(view);
-        nodes.sort_by_key(|node| (node.region != own.region, node.zone != own.zone));
+    /// Returns any other entry, those of other zones first: those of the own zone mostly depend on
+    /// the same source as this one.
+    fn any_peer(&self, view: &View, own: &Node, rng: &mut impl Rng) -> Option<Source> {
+        let mut nodes: Vec<&Node> = ranked(view);
+        nodes.retain(|node| node.name != own.name);
+        nodes.shuffle(rng);
+        nodes.sort_by_key(|node| (node.zone == own.zone, node.region != own.region));
         nodes
             .iter()
-            .filter(|node| node.name != own.name)
             .find_map(|node| self.usable(Source::Peer(node.name.clone())))
     }
 
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -4,6 +4,7 @@
 
 use lacewingmoor_control::facts::Revision;
 use lacewingmoor_control::ledger::Update;
+use lacewingmoor_control::source::State;
 use lacewingmoor_derive::wire;
 use quick_error::quick_error;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
@@ -37,6 +38,9 @@
 pub struct Status {
     /// Time since the store confirmed what the source knows, in milliseconds.
     pub age_ms: u64,
+    /// Time for which the source, or the one that it follows, has been looking for a source, in
+    /// milliseconds.
+    pub searching_ms: u64,
     /// Entry that follows the store itself and from which the knowledge comes.
     pub origin: String,
 }
@@ -59,8 +63,9 @@
             display("malformed frame: {why}")
         }
         /// The source has lost the store.
-        Old(age: Duration) {
-            display("source was last confirmed {} ms ago", age.as_millis())
+        Old(state: State) {
+            display("source was confirmed {} ms ago and has been searching for {} ms",
+                state.age.as_millis(), state.searching.as_millis())
         }
         /// The source has its knowledge from this entry.
         Circular {
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -74,7 +74,14 @@
     loop {
         let source = {
             let view = node.view.borrow();
-            sources.choose(node.now(), &view, &node.own, &node.settings.seeds)
+            let mut rng = node.rng.borrow_mut();
+            sources.choose(
+                node.now(),
+                &view,
+                &node.own,
+                &node.settings.seeds,
+                &mut *rng,
+            )
         };
         info!(
             node.log, "source";
@@ -92,6 +99,7 @@
             _ => Failure::Lost,
         };
         warn!(node.log, "source_lost"; "source" => ?source, "cause" => %end);
+        node.lost_source();
         sources.failed(node.now(), &source, failure);
         let factor = 1.0 + node.rng.borrow_mut().random::<f64>();
         tokio::time::sleep(SWITCH_PAUSE.mul_f64(factor)).await;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -10,6 +10,7 @@
 use lacewingmoor_control::facts::{self, TargetId};
 use lacewingmoor_control::ledger::Ledger;
 use lacewingmoor_control::place::{Place, WorkTime};
+use lacewingmoor_control::source::State;
 use lacewingmoor_control::split::Splitter;
 use lacewingmoor_control::stop::{Phase, Stop};
 use lacewingmoor_control::view::View;
@@ -77,6 +78,8 @@
     /// Open connections of callers.
     pub caller_connections: Cell<usize>,
     tuning: RefCell<Rc<Tuning>>,
+    /// Since when there has been no source to follow.
+    searching_since: Cell<Option<Now>>,
     started_at: Instant,
     stop: RefCell<Stop>,
     phases: watch::Sender<Phase>,
@@ -116,6 +119,7 @@
             in_flight: Cell::new(0),
             caller_connections: Cell::new(0),
             tuning: RefCell::new(Rc::new(settings.tuning.clone())),
+            searching_since: Cell::default(),
             started_at: Instant::now(),
             stop: RefCell::default(),
             phases: watch::Sender::new(Phase::Running),
@@ -189,13 +193,32 @@
         if *self.origin.borrow() != self.settings.node {
             self.origin.replace(self.settings.node.clone());
         }
+        self.searching_since.set(None);
         follow::confirmed(self, confirmed_at);
     }
 
-    /// Notes that another entry, whose knowledge comes from `origin`, confirmed what is known.
-    pub fn follows_peer(&self, origin: String, confirmed_at: Now) {
+    /// Notes what another entry, whose knowledge comes from `origin`, tells of itself.
+    pub fn follows_peer(&self, origin: String, state: State) {
         self.origin.replace(origin);
-        follow::confirmed(self, confirmed_at);
+        let now = self.now();
+        let searching = !state.searching.is_zero();
+        self.searching_since
+            .set(searching.then(|| now.saturating_sub(state.searching)));
+        follow::confirmed(self, now.saturating_sub(state.age));
+    }
+
+    /// Notes that there is no source to follow at this moment.
+    pub fn lost_source(&self) {
+        if self.searching_since.get().is_none() {
+            self.searching_since.set(Some(self.now()));
+        }
+        self.tell_followers();
+    }
+
+    /// Returns for how long this entry, or the one that it follows, has been looking for a source.
+    pub fn searching(&self) -> Duration {
+        let since = self.searching_since.get();
+        since.map_or(Duration::ZERO, |since| self.now().saturating_sub(since))
     }
 
     /// Wakes the feeds of followers.
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -5,7 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lacewingmoor_control::source::age_max;
+use lacewingmoor_control::source::State;
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -63,11 +63,14 @@
     if status.origin == node.settings.node {
         return Err(Error::Circular);
     }
-    let age = Duration::from_millis(status.age_ms);
-    if age > age_max(node.tuning().apply, in_zone) {
-        return Err(Error::Old(age));
+    let state = State {
+        age: Duration::from_millis(status.age_ms),
+        searching: Duration::from_millis(status.searching_ms),
+    };
+    if !state.is_good(node.tuning().apply, in_zone) {
+        return Err(Error::Old(state));
     }
-    node.follows_peer(status.origin, node.now().saturating_sub(age));
+    node.follows_peer(status.origin, state);
     Ok(())
 }
 
@@ -110,6 +113,7 @@
         }
         let status = Status {
             age_ms: node.knowledge_age().as_millis() as u64,
+            searching_ms: node.searching().as_millis() as u64,
             origin: node.origin.borrow().clone(),
         };
         write(&mut stream, &Message::Status(status)).await?;
--- /dev/null
+++ b/standin/examples/demo.rs
@@ -0,0 +1,136 @@
+//! Shows lacewingmoor at work on loopback: a store, targets, four entries in four zones, load, a
+//! zone that leaves and comes back, and an entry that is stopped and started again.
+
+use std::error::Error;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::Method;
+use lacewingmoor_standin::caller::{Call, End, call};
+use lacewingmoor_standin::fleet::{Fleet, HOST, ServicePlan};
+
+/// Time of load in each phase.
+const PHASE: Duration = Duration::from_secs(3);
+
+/// Requests a second.
+const RATE: u32 = 200;
+
+/// Longest time for everything.
+const LIMIT: Duration = Duration::from_secs(60);
+
+#[tokio::main]
+async fn main() -> Result<(), Box<dyn Error>> {
+    tokio::time::timeout(LIMIT, demo()).await?
+}
+
+async fn demo() -> Result<(), Box<dyn Error>> {
+    let plan = ServicePlan {
+        work: Duration::from_millis(20),
+        ..ServicePlan::small("lanes")
+    };
+    println!("== start a store, four targets and four entries in four zones");
+    let mut fleet = Fleet::start(&entry_binary()?, &[plan], 4).await?;
+    fleet.wait_ready(Duration::from_secs(20)).await?;
+    load(&fleet, "all zones").await;
+
+    println!("== take zone north-b out of service");
+    fleet.store.set_zone_out("north-b", true);
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let before = runs_in(&fleet, "north-b");
+    load(&fleet, "north-b out").await;
+    let during = runs_in(&fleet, "north-b") - before;
+    println!("   requests that reached north-b meanwhile: {during}");
+
+    println!("== bring zone north-b back");
+    fleet.store.set_zone_out("north-b", false);
+    load(&fleet, "north-b back").await;
+
+    println!("== stop entry-1 and start it again, under load at the others");
+    fleet.entries[1].signal(libc::SIGTERM);
+    let ended = fleet.entries[1].wait(Duration::from_secs(10));
+    println!("   ended by itself, without an error: {ended}");
+    fleet.entries[1].restart()?;
+    fleet.wait_ready(Duration::from_secs(20)).await?;
+    load(&fleet, "entry-1 back").await;
+
+    println!("== lines that entry-0 logged about its last requests");
+    let log = fleet.entries[0].log_text();
+    let requests: Vec<&str> = log
+        .lines()
+        .filter(|l| l.contains("event=request"))
+        .collect();
+    for line in requests.iter().rev().take(3) {
+        println!("   {line}");
+    }
+    println!("== calls of the store in all: {}", fleet.store.calls());
+    Ok(())
+}
+
+/// Finds the entry beside this program.
+fn entry_binary() -> Result<PathBuf, Box<dyn Error>> {
+    let own = std::env::current_exe()?;
+    let dir = own.parent().and_then(Path::parent);
+    let binary = dir.ok_or("no directory")?.join("lacewingmoord");
+    match binary.exists() {
+        true => Ok(binary),
+        false => Err("build the workspace first: cargo build --release --workspace".into()),
+    }
+}
+
+fn runs_in(fleet: &Fleet, zone: &str) -> usize {
+    let targets = fleet.targets.iter();
+    let inside = targets.filter(|target| &*target.registration.zone == zone);
+    inside.map(|target| target.standin.runs().len()).sum()
+}
+
+/// Sends load to all entries by turns and prints how it ended.
+async fn load(fleet: &Fleet, phase: &str) {
+    let count = PHASE.as_secs() as u32 * RATE;
+    let mut pace = tokio::time::interval(Duration::from_secs(1) / RATE);
+    let mut calls = Vec::new();
+    for i in 0..count {
+        pace.tick().await;
+        let entry = &fleet.entries[i as usize % fleet.entries.len()];
+        let callers = entry.callers;
+        let request = request(phase, i);
+        calls.push(tokio::spawn(async move { call(callers, &request).await }));
+    }
+    let mut times_ms = Vec::new();
+    let mut other = 0;
+    for ended in calls {
+        match ended.await {
+            Ok(End::Answer(answer)) if answer.status.is_success() => {
+                times_ms.push(answer.took.as_millis());
+            }
+            _ => other += 1,
+        }
+    }
+    times_ms.sort_unstable();
+    let at = |share: usize| times_ms.get(times_ms.len() * share / 100).copied();
+    println!(
+        "   {phase}: {} of {count} answered, {other} not; median {} ms, 99th percentile {} ms",
+        times_ms.len(),
+        at(50).unwrap_or(0),
+        at(99).unwrap_or(0)
+    );
+}
+
+fn request(phase: &str, i: u32) -> Call {
+    let (method, path, body) = match i % 4 {
+        0 => (
+            Method::POST,
+            "/lanes/write/1",
+            Bytes::from_static(b"lane=4"),
+        ),
+        _ => (Method::GET, "/lanes/read/1", Bytes::new()),
+    };
+    Call {
+        id: format!("{}-{i}", phase.replace(' ', "-")),
+        method,
+        host: HOST.into(),
+        path: path.into(),
+        body,
+        deadline: Duration::from_secs(3),
+    }
+}
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -128,6 +128,11 @@
         false
     }
 
+    /// Returns true if the process has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)) | Err(_))
+    }
+
     /// Returns what the process has logged so far.
     pub fn log_text(&self) -> String {
         std::fs::read_to_string(&self.log).unwrap_or_default()
