--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -35,6 +35,12 @@
 /// call at once.
 const SWITCH_PAUSE: Duration = Duration::from_millis(20);
 
+/// The same, as a part of the time for which no source was good.
+const SWITCH_PAUSE_SHARE: f64 = 0.1;
+
+/// Longest pause before the next source is tried.
+const SWITCH_PAUSE_MAX: Duration = Duration::from_millis(250);
+
 /// Time without confirmation after which registrations may have lapsed with the store.
 const OUTAGE_MIN: Duration = Duration::from_millis(2500);
 
@@ -101,11 +107,20 @@
         warn!(node.log, "source_lost"; "source" => ?source, "cause" => %end);
         node.lost_source();
         sources.failed(node.now(), &source, failure);
+        let pause = switch_pause(node.searching());
         let factor = 1.0 + node.rng.borrow_mut().random::<f64>();
-        tokio::time::sleep(SWITCH_PAUSE.mul_f64(factor)).await;
+        tokio::time::sleep(pause.mul_f64(factor)).await;
     }
 }
 
+/// Returns the pause before the next source is tried: short at first, because most often the next
+/// one is good, and longer while the store is away for all.
+fn switch_pause(searching: Duration) -> Duration {
+    searching
+        .mul_f64(SWITCH_PAUSE_SHARE)
+        .clamp(SWITCH_PAUSE, SWITCH_PAUSE_MAX)
+}
+
 async fn follow_peer(node: &Rc<Node>, name: &str) -> Error {
     let peer = node.view.borrow().node(name).cloned();
     match peer {
@@ -246,17 +261,15 @@
 /// Notes that what is known was confirmed at `confirmed_at`.
 pub fn confirmed(node: &Node, confirmed_at: Now) {
     let before = node.confirmed_at.get();
-    if confirmed_at <= before {
+    if before.is_some_and(|before| confirmed_at <= before) {
         return;
     }
-    node.confirmed_at.set(confirmed_at);
+    node.confirmed_at.set(Some(confirmed_at));
     // Each step from the store to the last follower would otherwise add an interval to the age.
     node.tell_followers();
-    if before > Now::ZERO && confirmed_at - before > OUTAGE_MIN {
-        info!(
-            node.log, "knowledge_regained";
-            "gap_ms" => (confirmed_at - before).as_millis() as u64,
-        );
+    let gap = before.map_or(Duration::ZERO, |before| confirmed_at - before);
+    if gap > OUTAGE_MIN {
+        info!(node.log, "knowledge_regained"; "gap_ms" => gap.as_millis() as u64);
         node.view.borrow_mut().store_returned(node.now());
     }
 }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -25,6 +25,9 @@
 use crate::settings::{Settings, Tuning};
 use crate::{follow, log};
 
+/// Age of knowledge that was never confirmed.
+const AGE_UNBOUNDED: Duration = Duration::from_secs(u32::MAX as u64);
+
 /// What this entry has seen of a service.
 pub struct ServiceState {
     /// Usual time that a request takes on an idle target.
@@ -56,7 +59,7 @@
     /// Keys of the store, for entries that follow this one.
     pub ledger: RefCell<Ledger>,
     /// When the store last confirmed what is known.
-    pub confirmed_at: Cell<Now>,
+    pub confirmed_at: Cell<Option<Now>>,
     /// Entry that follows the store itself and from which the knowledge comes.
     pub origin: RefCell<String>,
     /// Own observations of targets.
@@ -183,9 +186,14 @@
         self.phase() == Phase::Running && self.view.borrow().bundle().is_some()
     }
 
-    /// Returns the time since the store confirmed what is known.
+    /// Returns the time since the store confirmed what is known. A process that has just started
+    /// may have learned from entries that lost the store long ago, so without a confirmation the
+    /// age is unbounded.
     pub fn knowledge_age(&self) -> Duration {
-        self.now().saturating_sub(self.confirmed_at.get())
+        match self.confirmed_at.get() {
+            Some(at) => self.now().saturating_sub(at),
+            None => AGE_UNBOUNDED,
+        }
     }
 
     /// Notes that the store itself confirmed what is known.
--- a/entry/tests/recovery.rs
+++ b/entry/tests/recovery.rs
@@ -297,3 +297,31 @@
         entry.log_text()
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entry_that_starts_during_an_outage_does_not_pass_for_a_good_source() {
+    let mut fleet = fleet(&lanes(), 1).await;
+    fleet.store.set_fault(Fault::Silent);
+    until(
+        "the first has been without the store for long",
+        async || age_ms(&fleet, 0).await > 3000,
+    )
+    .await;
+    fleet
+        .add_entry("entry-late", "north-a", fleet.store.addr())
+        .expect("the entry starts");
+    fleet.wait_ready(PATIENCE).await.expect("it is ready");
+    let age_ms = age_ms(&fleet, 1).await;
+    assert!(
+        age_ms > 1_000_000,
+        "nobody has confirmed what it knows: {age_ms} ms"
+    );
+}
+
+/// Returns the age of an entry's knowledge that its status tells.
+async fn age_ms(fleet: &Fleet, entry: usize) -> u64 {
+    let status = get(fleet.entries[entry].metrics, "/status").await;
+    let (_, text) = status.expect("a status");
+    let status: serde_json::Value = serde_json::from_str(&text).expect("JSON");
+    status["knowledge_age_ms"].as_u64().expect("an age")
+}
