--- a/cli/src/cmd/status.rs
+++ b/cli/src/cmd/status.rs
@@ -112,13 +112,13 @@
             };
             writeln!(
                 f,
-                "{} {} version={} ready={} phase={} known_from={} age_ms={} in_flight={}",
+                "{} {} version={} ready={} phase={} known_through={} age_ms={} in_flight={}",
                 entry.addr,
                 status["node"].as_str().unwrap_or("-"),
                 status["bundle_version"],
                 status["ready"],
                 status["phase"].as_str().unwrap_or("-"),
-                status["knowledge_from"].as_str().unwrap_or("-"),
+                status["knowledge_through"],
                 status["knowledge_age_ms"],
                 status["requests_in_flight"],
             )?;
--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -6,7 +6,7 @@
 //! elected. A source that is silent, that breaks off or that has lost the store itself is left
 //! alone for a while; the store is next in line, so that news is late by one time-out at most.
 //! Entries only follow entries of better rank while the store is reachable, and an entry that
-//! tells of knowledge that came from this one is refused, so entries never feed each other.
+//! tells of knowledge that came through this one is refused, so entries never feed each other.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -41,8 +41,10 @@
     /// Time for which the source, or the one that it follows, has been looking for a source, in
     /// milliseconds.
     pub searching_ms: u64,
-    /// Entry that follows the store itself and from which the knowledge comes.
-    pub origin: String,
+    /// Name of the source.
+    pub node: String,
+    /// Entries through which the knowledge came to the source, that which follows the store first.
+    pub path: Vec<String>,
 }
 
 quick_error! {
@@ -67,9 +69,9 @@
             display("source was confirmed {} ms ago and has been searching for {} ms",
                 state.age.as_millis(), state.searching.as_millis())
         }
-        /// The source has its knowledge from this entry.
+        /// The source has its knowledge through this entry.
         Circular {
-            display("source follows this entry")
+            display("source has its knowledge through this entry")
         }
     }
 }
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -60,8 +60,9 @@
     pub ledger: RefCell<Ledger>,
     /// When the store last confirmed what is known.
     pub confirmed_at: Cell<Option<Now>>,
-    /// Entry that follows the store itself and from which the knowledge comes.
-    pub origin: RefCell<String>,
+    /// Entries through which the knowledge came, that which follows the store first; empty while
+    /// this entry follows the store.
+    pub path: RefCell<Vec<String>>,
     /// Own observations of targets.
     pub books: RefCell<Map<TargetId, Book>>,
     /// Own observations of services.
@@ -111,7 +112,7 @@
             view: RefCell::default(),
             ledger: RefCell::default(),
             confirmed_at: Cell::default(),
-            origin: RefCell::default(),
+            path: RefCell::default(),
             books: RefCell::default(),
             services: RefCell::default(),
             splits: RefCell::default(),
@@ -198,16 +199,14 @@
 
     /// Notes that the store itself confirmed what is known.
     pub fn follows_store(&self, confirmed_at: Now) {
-        if *self.origin.borrow() != self.settings.node {
-            self.origin.replace(self.settings.node.clone());
-        }
+        self.path.borrow_mut().clear();
         self.searching_since.set(None);
         follow::confirmed(self, confirmed_at);
     }
 
-    /// Notes what another entry, whose knowledge comes from `origin`, tells of itself.
-    pub fn follows_peer(&self, origin: String, state: State) {
-        self.origin.replace(origin);
+    /// Notes what another entry, from which knowledge comes on `path`, tells of itself.
+    pub fn follows_peer(&self, path: Vec<String>, state: State) {
+        self.path.replace(path);
         let now = self.now();
         let searching = !state.searching.is_zero();
         self.searching_since
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -60,7 +60,7 @@
 
 /// Decides whether the source is still worth following.
 fn check(node: &Node, status: Status, in_zone: bool) -> Result<(), Error> {
-    if status.origin == node.settings.node {
+    if status.path.contains(&node.settings.node) {
         return Err(Error::Circular);
     }
     let state = State {
@@ -70,7 +70,9 @@
     if !state.is_good(node.tuning().apply, in_zone) {
         return Err(Error::Old(state));
     }
-    node.follows_peer(status.origin, state);
+    let mut path = status.path;
+    path.push(status.node);
+    node.follows_peer(path, state);
     Ok(())
 }
 
@@ -114,7 +116,8 @@
         let status = Status {
             age_ms: node.knowledge_age().as_millis() as u64,
             searching_ms: node.searching().as_millis() as u64,
-            origin: node.origin.borrow().clone(),
+            node: node.settings.node.clone(),
+            path: node.path.borrow().clone(),
         };
         write(&mut stream, &Message::Status(status)).await?;
         // Ends with the interval or with news.
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -33,6 +33,9 @@
 /// Time for which a body that is too large is read and dropped.
 const DISCARD_TIME: Duration = Duration::from_millis(500);
 
+/// Time for which a request waits for the first bundle of a process.
+const BUNDLE_WAIT: Duration = Duration::from_millis(250);
+
 /// When a caller may come back to an entry that has no bundle yet.
 const NO_BUNDLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
@@ -129,9 +132,8 @@
 
 impl Course<'_> {
     async fn run(&mut self, head: &Parts, body: Incoming) -> Result<Response<AnswerBody>, Own> {
-        let bundle = self
-            .node
-            .bundle()
+        let bundle = first_bundle(self.node)
+            .await
             .ok_or_else(|| Own::not_run("no bundle yet", NO_BUNDLE_RETRY_AFTER))?;
         let host = host(head);
         let route_id = bundle
@@ -411,6 +413,22 @@
     }
 }
 
+/// Returns the bundle in force. An entry that has just started has it a few milliseconds later,
+/// which is sooner than a refused caller would be back.
+async fn first_bundle(node: &Node) -> Option<Rc<Bundle>> {
+    let mut news = node.news();
+    let arrives = async {
+        loop {
+            if let Some(bundle) = node.bundle() {
+                return bundle;
+            }
+            // The sender lives as long as the node.
+            let _ = news.changed().await;
+        }
+    };
+    tokio::time::timeout(BUNDLE_WAIT, arrives).await.ok()
+}
+
 /// Returns the host that a request names, without a port.
 fn host(head: &Parts) -> String {
     let authority = head.uri.authority().map(|a| a.as_str());
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -39,7 +39,7 @@
         "bundle_version": view.bundle().map(|bundle| bundle.version),
         "store_revision": node.ledger.borrow().revision(),
         "knowledge_age_ms": node.knowledge_age().as_millis() as u64,
-        "knowledge_from": *node.origin.borrow(),
+        "knowledge_through": *node.path.borrow(),
         "entries": view.node_count(),
         "zones_out": zones_out,
         "requests_in_flight": node.in_flight.get(),
--- a/entry/tests/recovery.rs
+++ b/entry/tests/recovery.rs
@@ -325,3 +325,21 @@
     let status: serde_json::Value = serde_json::from_str(&text).expect("JSON");
     status["knowledge_age_ms"].as_u64().expect("an age")
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn request_that_arrives_before_the_first_bundle_is_served() {
+    let mut fleet = fleet(&lanes(), 1).await;
+    fleet
+        .store
+        .set_fault(Fault::Slow(Duration::from_millis(120)));
+    fleet
+        .add_entry("entry-slow", "north-a", fleet.store.addr())
+        .expect("the entry starts");
+    let ready = fleet.entries[1].ready;
+    until("it listens", async || {
+        get_status(ready, READY_PATH).await.is_some()
+    })
+    .await;
+    let got = answer(&fleet.entries[1], &read("r-1")).await;
+    assert_eq!(got.status, StatusCode::OK);
+}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -158,6 +158,26 @@
     ///
     /// Returns the error of starting it.
     pub fn add_entry(&mut self, name: &str, zone: &str, store: SocketAddr) -> io::Result<()> {
+        let seeds = self.entries.iter().take(2).map(|e| e.peers).collect();
+        self.start_entry(name, zone, store, seeds)
+    }
+
+    /// Starts an entry that starts from `seeds`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the error of starting it.
+    pub fn add_seeded(&mut self, name: &str, zone: &str, seeds: Vec<SocketAddr>) -> io::Result<()> {
+        self.start_entry(name, zone, self.store.addr(), seeds)
+    }
+
+    fn start_entry(
+        &mut self,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        seeds: Vec<SocketAddr>,
+    ) -> io::Result<()> {
         let regions = ZONES.iter();
         let settings = EntrySettings {
             name: name.to_owned(),
@@ -166,7 +186,7 @@
                 .map(|(z, r)| ((*z).to_owned(), (*r).to_owned()))
                 .collect(),
             store,
-            seeds: self.entries.iter().take(2).map(|e| e.peers).collect(),
+            seeds,
             grace: Duration::from_secs(6),
         };
         let entry = EntryProcess::start(&self.binary, self.dir.path(), &settings)?;
