--- a/entry/tests/feed.rs
+++ b/entry/tests/feed.rs
@@ -73,10 +73,7 @@
     let Message::Update(update) = feed::read(&mut stream).await.expect("a message") else {
         panic!("the first message is an update");
     };
-    assert!(
-        update.records.len() >= 5,
-        "the bundle and four targets"
-    );
+    assert!(update.records.len() >= 5, "the bundle and four targets");
     fleet.store.set_zone_out("north-b", true);
     let news = loop {
         if let Message::Update(update) = feed::read(&mut stream).await.expect("a message") {
--- a/standin/examples/soak.rs
+++ b/standin/examples/soak.rs
@@ -26,6 +26,9 @@
 /// Entries of a run.
 const ENTRIES: usize = 6;
 
+/// Log lines shown of an entry that did not recover.
+const LINES_SHOWN: usize = 25;
+
 /// Pause between requests of a caller.
 const CALL_PAUSE: Duration = Duration::from_millis(8);
 
@@ -343,14 +346,32 @@
                 return Ok(());
             }
             if Instant::now() > ends {
-                let log = self.fleet.entries[behind.first().copied().unwrap_or(0)].log_text();
-                let tail: Vec<&str> = log.lines().rev().take(12).collect();
-                return Err(format!("entries {behind:?} did not recover: {tail:#?}"));
+                return Err(self.describe(&behind).await);
             }
             tokio::time::sleep(Duration::from_millis(100)).await;
         }
     }
 
+    /// Describes the entries that did not recover by their status and their last lines that are
+    /// not about requests.
+    async fn describe(&self, behind: &[usize]) -> String {
+        let mut text = format!(
+            "entries {behind:?} did not recover, newest version {}, down {:?}",
+            self.version, self.down
+        );
+        for i in behind {
+            let entry = &self.fleet.entries[*i];
+            let status = lacewingmoor_standin::fleet::get(entry.metrics, "/status").await;
+            text.push_str(&format!("\n{status:?}"));
+            let log = entry.log_text();
+            let lines = log.lines().filter(|line| !line.contains("request="));
+            let mut tail: Vec<&str> = lines.collect();
+            let tail = tail.split_off(tail.len().saturating_sub(LINES_SHOWN));
+            text.push_str(&format!("\n{}", tail.join("\n")));
+        }
+        text
+    }
+
     fn panicked(&self) -> Option<String> {
         let logs = self.fleet.entries.iter().map(|entry| entry.log_text());
         let mut lines = logs.filter_map(|log| {
