Refuse the end of a line that cannot be served at once; no confirmation from recent listings

Load pattern: a burst so long that the line of a service is longer than what gets a target before its last request has to give up. Such requests waited until their time was over; now they are refused when they would join, with the time of their turn as Retry-After. Also: a listing of recent state no longer counts as a confirmation, leases of entries last 24 s, and incoming.rs holds what callers send.

--- a/control/src/admit.rs
+++ b/control/src/admit.rs
@@ -18,6 +18,12 @@
 /// up to a third.
 const RETRY_AFTER_SHARE: f64 = 0.2;
 
+/// Requests that must be ahead before the pace of the line counts.
+const AHEAD_MIN: usize = 3;
+
+/// Weight of the newest gap in the pace of a line.
+const FLOW_GAIN: f64 = 0.1;
+
 /// A request that looks for a target.
 #[value]
 pub struct Waiting {
@@ -69,6 +75,29 @@
         self.latest.saturating_sub(work)
     }
 
+    /// Decides whether the request may wait behind `ahead` others in a line that moves at `flow`.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which it may come back, if its turn would come too late.
+    pub fn join(
+        &self,
+        now: Now,
+        ahead: usize,
+        flow: &Flow,
+        work: Duration,
+    ) -> Result<(), Duration> {
+        // A short line tells little about its pace, and somebody has to wait to find that out.
+        if ahead < AHEAD_MIN {
+            return Ok(());
+        }
+        let turn = flow.expected_wait(ahead + 1);
+        if now + turn <= self.give_up_at(work) {
+            return Ok(());
+        }
+        Err(turn)
+    }
+
     /// Returns when a refused caller may come back.
     pub fn retry_after(&self, now: Now, deadline: Now) -> Duration {
         deadline.saturating_sub(now).mul_f64(RETRY_AFTER_SHARE)
@@ -97,3 +126,33 @@
     /// Is late: end of its time.
     Late(Now),
 }
+
+/// Pace at which waiting requests get a target.
+///
+/// Load pattern: a line that is longer than what can be served before its last request has to give
+/// up. Those at its end are refused at once instead of after their time, and are told when their
+/// turn would have come.
+#[derive(Clone, Debug, Default)]
+pub struct Flow {
+    mean_gap_s: Option<f64>,
+    last_at: Option<Now>,
+}
+
+impl Flow {
+    /// Notes that a waiting request got a target; `left` others still wait.
+    pub fn moved(&mut self, now: Now, left: usize) {
+        if let Some(last_at) = self.last_at {
+            let gap_s = now.saturating_sub(last_at).as_secs_f64();
+            let mean_s = self.mean_gap_s.unwrap_or(gap_s);
+            self.mean_gap_s = Some(mean_s + (gap_s - mean_s) * FLOW_GAIN);
+        }
+        // The time until the next request waits says nothing about targets.
+        self.last_at = (left > 0).then_some(now);
+    }
+
+    /// Returns the time until a request at `position` of the line, from 1, gets a target.
+    pub fn expected_wait(&self, position: usize) -> Duration {
+        let gap_s = self.mean_gap_s.unwrap_or(0.0);
+        Duration::from_secs_f64(gap_s * position as f64)
+    }
+}
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use common::ms;
-use lacewingmoor_control::admit::{Step, Waiting};
+use lacewingmoor_control::admit::{Flow, Step, Waiting};
 use lacewingmoor_control::book::Load;
 use lacewingmoor_control::place::{Record, offer};
 use rand::rngs::StdRng;
@@ -270,3 +270,39 @@
     let order: Vec<u64> = line.iter().map(|w| w.due.as_millis() as u64).collect();
     assert_eq!(order, [900, 700, 800, 50, 100]);
 }
+
+#[test]
+fn end_of_a_line_that_cannot_be_served_is_refused_at_once_with_its_turn() {
+    let mut flow = Flow::default();
+    for i in 0..100 {
+        flow.moved(ms(i * 50), 10);
+    }
+    let waiting = Waiting {
+        due: ms(5400),
+        latest: ms(6500),
+        priority: 1,
+        heavy: false,
+    };
+    let join = |ahead| waiting.join(ms(5000), ahead, &flow, WORK);
+    assert_eq!(join(10), Ok(()), "its turn comes after 550 ms");
+    let turn = join(40).expect_err("its turn comes after 2 s, its time is over before");
+    assert!((ms(2000)..ms(2100)).contains(&turn), "{turn:?}");
+    assert_eq!(join(2), Ok(()), "a short line never refuses");
+}
+
+#[test]
+fn line_that_moves_again_takes_requests_again() {
+    let mut flow = Flow::default();
+    for i in 0..50 {
+        flow.moved(ms(i * 1000), 10);
+    }
+    let slow = flow.expected_wait(10);
+    for i in 0..50 {
+        flow.moved(ms(50_000 + i * 10), 10);
+    }
+    assert!(flow.expected_wait(10) < slow / 10);
+    // The time without anybody waiting does not count.
+    flow.moved(ms(60_000), 0);
+    flow.moved(ms(90_000), 5);
+    assert!(flow.expected_wait(1) < ms(1000));
+}
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -148,7 +148,7 @@
             Step::List => list(node, &mut client, Currency::Recent).await,
             Step::Watch(revision) => watch(node, &mut client, revision, wait).await,
         };
-        let (read_at, update) = match read {
+        let (confirmed_at, update) = match read {
             Ok(read) => read,
             Err(StoreError::Answer(store::Error::Compacted)) => {
                 info!(node.log, "store_history_gone"; "revision" => node.ledger.borrow().revision());
@@ -161,7 +161,7 @@
         };
         wait = node.tuning().apply.mul_f64(WATCH_WAIT_SHARE);
         let changed = !update.records.is_empty();
-        node.follows_store(read_at);
+        node.follows_store(confirmed_at);
         learn(node, update);
         if node.now() >= better_check_at {
             better_check_at = node.now() + BETTER_CHECK;
@@ -183,12 +183,12 @@
     Watch(Revision),
 }
 
-/// Reads all keys. Returns when the first page was asked for, and the records.
+/// Reads all keys. Returns the time that they stand for, if it is known, and the records.
 async fn list(
     node: &Rc<Node>,
     client: &mut Client,
     currency: Currency,
-) -> Result<(Now, Update), StoreError> {
+) -> Result<(Option<Now>, Update), StoreError> {
     let asked_at = node.now();
     let mut records = Vec::new();
     let mut revision = None;
@@ -216,7 +216,9 @@
         whole: currency == Currency::Current,
         records,
     };
-    Ok((asked_at, update))
+    // Recent state may be seconds old.
+    let confirmed_at = (currency == Currency::Current).then_some(asked_at);
+    Ok((confirmed_at, update))
 }
 
 fn newest(records: &[Record]) -> Revision {
@@ -229,7 +231,7 @@
     client: &mut Client,
     after: Revision,
     wait: Duration,
-) -> Result<(Now, Update), StoreError> {
+) -> Result<(Option<Now>, Update), StoreError> {
     let request = store::watch(&client.host(), FOLLOWED_PREFIX, after, wait);
     let (status, body) = client.call("watch", request, wait).await?;
     let events = store::decode_events(status, &body)?;
@@ -238,7 +240,7 @@
         whole: false,
         records: events.records,
     };
-    Ok((node.now(), update))
+    Ok((Some(node.now()), update))
 }
 
 /// Takes an update over into ledger and view, and passes it on to followers.
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod error;
 pub mod feed;
 pub mod follow;
+pub mod incoming;
 pub mod log;
 pub mod metrics;
 pub mod node;
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -197,11 +197,13 @@
         }
     }
 
-    /// Notes that the store itself confirmed what is known.
-    pub fn follows_store(&self, confirmed_at: Now) {
+    /// Notes that the store itself told what is known, and when it confirmed it.
+    pub fn follows_store(&self, confirmed_at: Option<Now>) {
         self.path.borrow_mut().clear();
         self.searching_since.set(None);
-        follow::confirmed(self, confirmed_at);
+        if let Some(confirmed_at) = confirmed_at {
+            follow::confirmed(self, confirmed_at);
+        }
     }
 
     /// Notes what another entry, from which knowledge comes on `path`, tells of itself.
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -52,6 +52,8 @@
     pub service: &'a Service,
     /// When it is due and how long it may wait.
     pub waiting: Waiting,
+    /// When the caller stops waiting.
+    pub deadline: Now,
     /// Targets that it was sent to.
     pub tried: Vec<TargetId>,
     /// Rounds of asking so far.
@@ -72,8 +74,12 @@
         &self.bundle.routes[self.route_id]
     }
 
-    /// Finds a target; `None` if none can answer in time.
-    pub async fn find(&mut self, node: &Rc<Node>) -> Option<Placed> {
+    /// Finds a target.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may come back, if none can answer in time.
+    pub async fn find(&mut self, node: &Rc<Node>) -> Result<Placed, Duration> {
         let mut best: Option<Placed> = None;
         let mut rounds = 0;
         loop {
@@ -86,22 +92,18 @@
             best = self.round(node).ask(reach, ASKED, best).await;
             let offer = best.as_ref().map(|placed| &placed.offer);
             match self.waiting.step(node.now(), rounds, offer) {
+                Step::Widen => continue,
                 Step::Send => {
-                    let placed = best.take()?;
-                    if self.round(node).take(&placed) {
-                        return Some(placed);
+                    if let Some(placed) = best.take_if(|best| self.round(node).take(best)) {
+                        return Ok(placed);
                     }
-                    node.pool.put(placed.connection);
-                    return self.wait(node).await;
-                }
-                Step::Widen => {}
-                Step::Wait => {
-                    if let Some(placed) = best.take() {
-                        node.pool.put(placed.connection);
-                    }
-                    return self.wait(node).await;
                 }
+                Step::Wait => {}
+            }
+            if let Some(placed) = best {
+                node.pool.put(placed.connection);
             }
+            return self.wait(node).await;
         }
     }
 
@@ -116,13 +118,12 @@
         None
     }
 
-    async fn wait(&mut self, node: &Rc<Node>) -> Option<Placed> {
-        let give_up_at = self.waiting.give_up_at(self.round(node).work());
-        let give_up = node.instant(give_up_at);
+    async fn wait(&mut self, node: &Rc<Node>) -> Result<Placed, Duration> {
+        let work = self.round(node).work();
         loop {
-            let placed = queue::wait(node, self, give_up).await?;
+            let placed = queue::wait(node, self, work).await?;
             if self.round(node).take(&placed) {
-                return Some(placed);
+                return Ok(placed);
             }
             node.pool.put(placed.connection);
         }
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -6,7 +6,7 @@
 
 use lacewingmoor_bundle::{Bundle, Route, Service};
 use lacewingmoor_control::Map;
-use lacewingmoor_control::admit::Waiting;
+use lacewingmoor_control::admit::{Flow, Waiting};
 use lacewingmoor_control::facts::TargetId;
 use tokio::sync::oneshot;
 
@@ -40,6 +40,7 @@
 #[derive(Default)]
 struct Line {
     entries: Vec<Entry>,
+    flow: Flow,
     searching: bool,
 }
 
@@ -77,7 +78,10 @@
                     .filter(|i| line.entries[*i].accepts(&placed))
                     .min_by_key(|i| line.entries[*i].waiting.rank(now, expected));
                 match first {
-                    Some(i) => line.entries.swap_remove(i),
+                    Some(i) => {
+                        line.flow.moved(now, line.entries.len() - 1);
+                        line.entries.swap_remove(i)
+                    }
                     None => return Some(placed),
                 }
             };
@@ -101,17 +105,28 @@
 }
 
 /// Waits for a target until `seeking` has to give up.
+///
+/// # Errors
+///
+/// Returns the time after which the caller may come back.
 pub async fn wait(
     node: &Rc<Node>,
     seeking: &Seeking<'_>,
-    give_up: tokio::time::Instant,
-) -> Option<Placed> {
+    work: Duration,
+) -> Result<Placed, Duration> {
     let (reply, handed) = oneshot::channel();
+    let waiting = seeking.waiting.clone();
     let start_search = {
         let mut lines = node.queue.lines.borrow_mut();
         let line = lines.entry(seeking.service.name.clone()).or_default();
+        line.entries.retain(|entry| !entry.reply.is_closed());
+        let now = node.now();
+        let own = waiting.rank(now, work);
+        let before = |entry: &&Entry| entry.waiting.rank(now, work) <= own;
+        let ahead = line.entries.iter().filter(before).count();
+        waiting.join(now, ahead, &line.flow, work)?;
         line.entries.push(Entry {
-            waiting: seeking.waiting.clone(),
+            waiting: waiting.clone(),
             bundle: seeking.bundle.clone(),
             route: seeking.route_id,
             tried: seeking.tried.clone(),
@@ -123,7 +138,11 @@
         let service = seeking.service.clone();
         tokio::task::spawn_local(search(node.clone(), service));
     }
-    tokio::time::timeout_at(give_up, handed).await.ok()?.ok()
+    let give_up = node.instant(waiting.give_up_at(work));
+    match tokio::time::timeout_at(give_up, handed).await {
+        Ok(Ok(placed)) => Ok(placed),
+        _ => Err(waiting.retry_after(node.now(), seeking.deadline)),
+    }
 }
 
 /// Asks targets for as long as requests wait.
--- a/entry/src/register.rs
+++ b/entry/src/register.rs
@@ -12,10 +12,10 @@
 use crate::store::{Client, Error};
 
 /// Time after which the registration of an entry that is gone ends.
-const LEASE_TTL: Duration = Duration::from_secs(15);
+const LEASE_TTL: Duration = Duration::from_secs(24);
 
 /// Interval of renewals: two may fail before the lease ends.
-const RENEW_INTERVAL: Duration = Duration::from_millis(4500);
+const RENEW_INTERVAL: Duration = Duration::from_millis(7500);
 
 /// Keeps the registration until the process leaves.
 pub async fn keep(node: Rc<Node>) {
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -4,12 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, Request, Response, StatusCode};
-use http_body_util::{BodyExt as _, LengthLimitError, Limited};
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use lacewingmoor_bundle::{Bundle, Repeat, Route, Service};
 use lacewingmoor_control::Now;
 use lacewingmoor_control::admit::Waiting;
@@ -21,7 +18,8 @@
 use lacewingmoor_platform::headers;
 use slog::{debug, info};
 
-use crate::answer::{AnswerBody, Own, remove_hop_by_hop};
+use crate::answer::{AnswerBody, Own};
+use crate::incoming::{clean, host, read_body};
 use crate::metrics::request_ended;
 use crate::node::{Node, ServiceState};
 use crate::place::{Placed, Seeking};
@@ -30,9 +28,6 @@
 /// Time that a caller waits if it does not say.
 const DEADLINE_DEFAULT: Duration = Duration::from_secs(30);
 
-/// Time for which a body that is too large is read and dropped.
-const DISCARD_TIME: Duration = Duration::from_millis(500);
-
 /// Time for which a request waits for the first bundle of a process.
 const BUNDLE_WAIT: Duration = Duration::from_millis(250);
 
@@ -166,6 +161,7 @@
                 priority: route.priority,
                 heavy: self.is_heavy(service),
             },
+            deadline: outgoing.deadline,
             tried: Vec::new(),
             rounds: 0,
         };
@@ -230,18 +226,12 @@
             let placed = seeking.find(self.node).await;
             self.rounds = seeking.rounds;
             let placed = match placed {
-                Some(placed) => placed,
-                None if self.attempts.may_have_run() => {
-                    return Err(Own::unknown(
-                        StatusCode::BAD_GATEWAY,
-                        "failed, no other target",
-                    ));
-                }
-                None => {
-                    let now = self.node.now();
-                    let retry_after = seeking.waiting.retry_after(now, outgoing.deadline);
-                    return Err(Own::not_run("no target in time", retry_after));
+                Ok(placed) => placed,
+                Err(_) if self.attempts.may_have_run() => {
+                    let reason = "failed, no other target";
+                    return Err(Own::unknown(StatusCode::BAD_GATEWAY, reason));
                 }
+                Err(retry_after) => return Err(Own::not_run("no target in time", retry_after)),
             };
             if self.attempts.sent() == 0 {
                 let waited = self.node.now().saturating_sub(self.arrived);
@@ -428,52 +418,3 @@
     };
     tokio::time::timeout(BUNDLE_WAIT, arrives).await.ok()
 }
-
-/// Returns the host that a request names, without a port.
-fn host(head: &Parts) -> String {
-    let authority = head.uri.authority().map(|a| a.as_str());
-    let field = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = authority.or(field).unwrap_or_default();
-    let name = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
-        _ => host,
-    };
-    name.to_ascii_lowercase()
-}
-
-/// Prepares a head for targets: origin form, without fields that concern one connection only.
-fn clean(head: &mut Parts) {
-    remove_hop_by_hop(&mut head.headers);
-    head.headers.remove(http::header::EXPECT);
-    head.headers.remove(http::header::CONTENT_LENGTH);
-    if head.uri.authority().is_some()
-        && let Some(path) = head.uri.path_and_query().cloned()
-    {
-        head.uri = path.into();
-    }
-}
-
-/// Reads a body that is not wanted, so that the caller gets to read the answer instead of a reset.
-async fn discard(mut body: Incoming) {
-    let read = async { while let Some(Ok(_)) = body.frame().await {} };
-    // A caller that takes longer is cut off.
-    let _ = tokio::time::timeout(DISCARD_TIME, read).await;
-}
-
-/// Reads the body, so that it can be sent again to another target.
-async fn read_body(body: Incoming, bytes_max: u64) -> Result<Bytes, Own> {
-    if body.is_end_stream() {
-        return Ok(Bytes::new());
-    }
-    let too_large = Own::invalid(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
-    if body.size_hint().lower() > bytes_max {
-        discard(body).await;
-        return Err(too_large);
-    }
-    let bytes_max = usize::try_from(bytes_max).unwrap_or(usize::MAX);
-    match Limited::new(body, bytes_max).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(e) if e.is::<LengthLimitError>() => Err(too_large),
-        Err(_) => Err(Own::invalid(StatusCode::BAD_REQUEST, "body not whole")),
-    }
-}
