Count the time before the first confirmation as an outage

Found by targets_that_lapsed_with_the_store_are_back_or_gone_after_it_returns, which failed after listings of recent state stopped counting as confirmations: an entry that lost the store before its first watch dropped lapsed targets at once.

--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -269,7 +269,8 @@
     node.confirmed_at.set(Some(confirmed_at));
     // Each step from the store to the last follower would otherwise add an interval to the age.
     node.tell_followers();
-    let gap = before.map_or(Duration::ZERO, |before| confirmed_at - before);
+    // A process that has not been confirmed yet may know what lapsed before its start.
+    let gap = confirmed_at - before.unwrap_or(Now::ZERO);
     if gap > OUTAGE_MIN {
         info!(node.log, "knowledge_regained"; "gap_ms" => gap.as_millis() as u64);
         node.view.borrow_mut().store_returned(node.now());
