Count own requests in flight against a target's room

Cause: a load report overtakes a request that was sent before it on another connection, so the sends since the question do not hold all. What this entry has in flight does.

--- a/control/src/place.rs
+++ b/control/src/place.rs
@@ -192,12 +192,13 @@
 }
 
 /// Returns true if a target that reported `load` still has room after `sends` of which the report
-/// did not know.
+/// did not know, while `in_flight` requests of this entry are there or on their way.
 ///
 /// Load pattern: many requests arrive at one entry at once, ask the same target and see the same
-/// free slot.
-pub fn still_has_room(load: Load, sends: u32) -> bool {
-    load.running + load.waiting + sends < full_speed_slots(load.slots)
+/// free slot. A report may also overtake a request that was sent before it.
+pub fn still_has_room(load: Load, sends: u32, in_flight: u32) -> bool {
+    let reported = load.running + load.waiting + sends;
+    reported.max(in_flight) < full_speed_slots(load.slots)
 }
 
 /// Rates a target that reported `load` after `round_trip`. `work` is the usual time that a request
--- a/control/tests/place.rs
+++ b/control/tests/place.rs
@@ -9,7 +9,7 @@
 use lacewingmoor_control::book::{Book, Load};
 use lacewingmoor_control::facts::{Change, Fact, Subject, Target, TargetId};
 use lacewingmoor_control::place::{
-    Offer, Place, Query, Reach, Record, WorkTime, full_speed_slots, offer,
+    Offer, Place, Query, Reach, Record, WorkTime, full_speed_slots, offer, still_has_room,
 };
 use lacewingmoor_control::view::View;
 use rand::SeedableRng as _;
@@ -270,3 +270,20 @@
     assert!(asked("n1") != asked("n2"));
     assert_eq!(all.len(), 60, "together they ask every target");
 }
+
+#[rstest]
+#[case::room(1, 0, 1, true)]
+#[case::taken_since_the_report(1, 2, 1, false)]
+#[case::report_overtook_a_send(1, 0, 3, false)]
+#[case::others_fill_it(3, 0, 0, false)]
+fn room_counts_what_the_report_does_not_know(
+    #[case] running: u32,
+    #[case] sends: u32,
+    #[case] in_flight: u32,
+    #[case] room: bool,
+) {
+    assert_eq!(
+        still_has_room(load(running, 0, 1.0), sends, in_flight),
+        room
+    );
+}
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -326,7 +326,7 @@
         };
         node.with_book(&placed.target.id, |book| {
             let sends = book.sends_since(placed.asked_at);
-            let taken = still_has_room(placed.offer.load, sends)
+            let taken = still_has_room(placed.offer.load, sends, book.in_flight)
                 && (!book.is_cold(now) || book.cold_gate.take(now, rate));
             if taken {
                 book.sent(now);
