Ask targets on after one answer without a report; refuse truly when time ends before a send

A service counted as one that does not report its load after a single health answer without a report, such as that of a target that leaves; from then on its targets were not asked. Test that failed first: one_answer_without_a_report_does_not_end_the_questions. A request whose time ended after a connection failed was answered 504, though it had reached no target. Observations of targets that are gone are dropped.

--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -38,8 +38,9 @@
     pub probes: ProbeBudget,
     /// Usual size of an answer in bytes.
     pub answer_bytes: f64,
-    /// False once a health answer came without a load report.
-    pub reports_load: bool,
+    /// Whether targets report their load; `None` before the first health answer. A service that
+    /// reported once reports always, whatever a single answer lacks.
+    pub reports_load: Option<bool>,
 }
 
 /// Shared state.
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -235,7 +235,7 @@
     fn reports_load(&self) -> bool {
         let services = self.node.services.borrow();
         let state = services.get(&self.service.name);
-        state.is_none_or(|s| s.reports_load)
+        state.is_none_or(|s| s.reports_load != Some(false))
     }
 
     fn pick(&self, reach: Reach, count: usize) -> Vec<Rc<Target>> {
@@ -258,10 +258,8 @@
             .node
             .with_book(&target.id, |book| (book.record(now), book.in_flight));
         record.unhealthy = !probed.healthy;
-        let load = probed.load.unwrap_or_else(|| {
-            self.note_no_load();
-            own_load(&target, in_flight)
-        });
+        self.note_report(probed.load.is_some(), probed.healthy);
+        let load = probed.load.unwrap_or_else(|| own_load(&target, in_flight));
         Placed {
             offer: offer(load, probed.round_trip, self.work(), record),
             target,
@@ -270,9 +268,16 @@
         }
     }
 
-    fn note_no_load(&self) {
-        if let Some(state) = self.node.services.borrow_mut().get_mut(&self.service.name) {
-            state.reports_load = false;
+    /// Learns whether the service reports its load.
+    fn note_report(&self, reported: bool, healthy: bool) {
+        let mut services = self.node.services.borrow_mut();
+        let Some(state) = services.get_mut(&self.service.name) else {
+            return;
+        };
+        if reported {
+            state.reports_load = Some(true);
+        } else if healthy && state.reports_load.is_none() {
+            state.reports_load = Some(false);
         }
     }
 
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -168,6 +168,10 @@
         node.pool.prune();
         let effects = node.view.borrow_mut().expire(node.now());
         follow::log_effects(&node, &effects);
+        let view = node.view.borrow();
+        let known = |id: &str| view.target(id).is_some();
+        let mut books = node.books.borrow_mut();
+        books.retain(|id, book| known(id) || book.in_flight > 0);
     }
 }
 
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -209,7 +209,7 @@
                 budget: RetryBudget::default(),
                 probes: ProbeBudget::default(),
                 answer_bytes: 0.0,
-                reports_load: true,
+                reports_load: None,
             });
         state
             .budget
@@ -251,20 +251,17 @@
             self.last_failure = failed.why;
             match next {
                 Next::Retry if self.node.now() < outgoing.latest => {}
-                Next::Retry | Next::Unknown => {
+                Next::Retry | Next::Unknown if self.attempts.may_have_run() => {
                     let status = match self.node.now() >= outgoing.latest {
                         true => StatusCode::GATEWAY_TIMEOUT,
                         false => StatusCode::BAD_GATEWAY,
                     };
                     return Err(Own::unknown(status, "outcome unknown"));
                 }
-                Next::RefuseNotRun => {
-                    return Err(Own::not_run(
-                        "rejected by targets",
-                        seeking
-                            .waiting
-                            .retry_after(self.node.now(), outgoing.deadline),
-                    ));
+                Next::Retry | Next::Unknown | Next::RefuseNotRun => {
+                    let now = self.node.now();
+                    let retry_after = seeking.waiting.retry_after(now, outgoing.deadline);
+                    return Err(Own::not_run("rejected by targets", retry_after));
                 }
                 Next::PassOn => {
                     let answer = failed.answer.map(|answer| {
--- a/entry/tests/requests.rs
+++ b/entry/tests/requests.rs
@@ -320,3 +320,25 @@
         assert_eq!(answer(entry, &moved).await.status, StatusCode::OK);
     }
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_answer_without_a_report_does_not_end_the_questions() {
+    let fleet = fleet(&lanes(), 1).await;
+    let entry = &fleet.entries[0];
+    for i in 0..5 {
+        answer(entry, &read(&format!("r-{i}"))).await;
+    }
+    fleet.targets[0].standin.hide_load();
+    let probes = || fleet.targets[1].standin.probes();
+    for i in 5..10 {
+        answer(entry, &read(&format!("r-{i}"))).await;
+    }
+    let before = probes();
+    for i in 10..20 {
+        answer(entry, &read(&format!("r-{i}"))).await;
+    }
+    assert!(
+        probes() > before,
+        "the service reports its load, so it is asked"
+    );
+}
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -69,6 +69,7 @@
 struct Inner {
     fault: Fault,
     healthy: bool,
+    hides_load: bool,
     running: u32,
     waiting: u32,
     most_running: u32,
@@ -125,6 +126,11 @@
         self.shared.lock().healthy = healthy;
     }
 
+    /// Makes a target that reports its load leave the report out.
+    pub fn hide_load(&self) {
+        self.shared.lock().hides_load = true;
+    }
+
     /// Sets how much longer the target says that it is cold.
     pub fn set_warmup_left(&self, left: Duration) {
         self.shared.lock().warmup_left = left;
@@ -162,10 +168,10 @@
     }
 
     fn add_load(&self, response: &mut Response<Full<Bytes>>) {
-        if !self.settings.reports_load {
+        let inner = self.lock();
+        if !self.settings.reports_load || inner.hides_load {
             return;
         }
-        let inner = self.lock();
         let load = format!(
             "{},{},{},100",
             inner.running, inner.waiting, self.settings.slots
