Search for every waiting request, not only for the first

Read in the code: the search asked targets for the first waiting request alone. If none may serve that one at the moment (its home regions are out), those behind it on the same service waited for nothing. Test: search_is_made_for_every_waiting_request_and_most_often_for_the_first.

--- a/control/src/admit.rs
+++ b/control/src/admit.rs
@@ -127,6 +127,19 @@
     Late(Now),
 }
 
+/// Returns the waiting request on whose behalf targets are asked in a turn of the search.
+///
+/// Every second turn is for the first by rank, the others go round. The first may be one that no
+/// target may serve at the moment, such as one whose home regions are out of service, and those
+/// behind it would wait for nothing.
+pub fn search_for(ranks: &[Rank], turn: usize) -> Option<usize> {
+    let first = (0..ranks.len()).min_by_key(|i| &ranks[*i])?;
+    match turn % 2 {
+        0 => Some(first),
+        _ => Some(turn / 2 % ranks.len()),
+    }
+}
+
 /// Pace at which waiting requests get a target.
 ///
 /// Load pattern: a line that is longer than what can be served before its last request has to give
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use common::ms;
-use lacewingmoor_control::admit::{Flow, Step, Waiting};
+use lacewingmoor_control::admit::{Flow, Rank, Step, Waiting, search_for};
 use lacewingmoor_control::book::Load;
 use lacewingmoor_control::place::{Record, offer};
 use rand::rngs::StdRng;
@@ -306,3 +306,19 @@
     flow.moved(ms(90_000), 5);
     assert!(flow.expected_wait(1) < ms(1000));
 }
+
+#[test]
+fn search_is_made_for_every_waiting_request_and_most_often_for_the_first() {
+    let ranks = [
+        Rank::Late(ms(900)),
+        Rank::OnTime(1, ms(500)),
+        Rank::OnTime(0, ms(700)),
+        Rank::OnTime(1, ms(400)),
+    ];
+    let mut counts = [0; 4];
+    for turn in 0..16 {
+        counts[search_for(&ranks, turn).expect("requests wait")] += 1;
+    }
+    assert_eq!(counts, [2, 2, 10, 2]);
+    assert_eq!(search_for(&[], 3), None);
+}
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -6,7 +6,7 @@
 
 use lacewingmoor_bundle::{Bundle, Route, Service};
 use lacewingmoor_control::Map;
-use lacewingmoor_control::admit::{Flow, Waiting};
+use lacewingmoor_control::admit::{Flow, Rank, Waiting, search_for};
 use lacewingmoor_control::facts::TargetId;
 use tokio::sync::oneshot;
 
@@ -147,27 +147,30 @@
 
 /// Asks targets for as long as requests wait.
 async fn search(node: Rc<Node>, service: Service) {
-    loop {
-        let first = {
+    for turn in 0.. {
+        let asked_for = {
             let mut lines = node.queue.lines.borrow_mut();
             let Some(line) = lines.get_mut(&service.name) else {
                 return;
             };
             line.entries.retain(|entry| !entry.reply.is_closed());
             let now = node.now();
-            let first = line
-                .entries
-                .iter()
-                .min_by_key(|entry| entry.waiting.rank(now, Duration::ZERO));
-            match first {
-                Some(entry) => (entry.bundle.clone(), entry.route, entry.tried.clone()),
+            let entries = line.entries.iter();
+            let ranks: Vec<Rank> = entries
+                .map(|entry| entry.waiting.rank(now, Duration::ZERO))
+                .collect();
+            match search_for(&ranks, turn) {
+                Some(i) => {
+                    let entry = &line.entries[i];
+                    (entry.bundle.clone(), entry.route, entry.tried.clone())
+                }
                 None => {
                     line.searching = false;
                     return;
                 }
             }
         };
-        let (bundle, route, tried) = first;
+        let (bundle, route, tried) = asked_for;
         place::search_round(&node, &service, &bundle.routes[route], tried, SEARCH_ASKED).await;
         tokio::time::sleep(SEARCH_PAUSE).await;
     }
