--- a/cli/src/cmd/trace.rs
+++ b/cli/src/cmd/trace.rs
@@ -112,11 +112,14 @@
 /// Says in a sentence what decided the end of a request.
 fn conclude(end: &Line, about: &[&Line]) -> String {
     let node = end.get("node");
-    let waited = format!(
-        "after {} ms, {} ms of these before the last send",
-        end.number("ms"),
-        end.number("sent_ms")
-    );
+    let waited = match end.get("target") {
+        "-" => format!("after {} ms, never sent to a target", end.number("ms")),
+        _ => format!(
+            "after {} ms, {} ms of these before the last send",
+            end.number("ms"),
+            end.number("sent_ms")
+        ),
+    };
     let failures: Vec<String> = about
         .iter()
         .filter(|line| line.get("event") == "attempt_failed" && line.get("node") == node)
--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -88,6 +88,7 @@
   3.1 edge-1 time_ms=1000 level=info event=source_lost source=Store cause=\"no answer\" node=edge-1
 time_ms=2000 level=info event=attempt_failed request=r-1 target=t-1 outcome=Broken why=\"lost: connection \\\"x\\\"\" next=Unknown node=edge-1
 time_ms=2001 level=info event=request request=r-1 route=book version=7 status=502 reason=\"outcome unknown\" attempts=1 rounds=1 target=t-1 ahead=2 slots=4 pace=1 sent_ms=3 expected_ms=210 last_failure=\"\" ms=230 node=edge-1
+time_ms=2400 level=info event=request request=r-3 route=book version=7 status=503 reason=\"no target in time\" attempts=0 rounds=2 target=- ahead=0 slots=0 pace=0 sent_ms=0 expected_ms=0 last_failure=\"\" ms=98 node=edge-1
 time_ms=2500 level=info event=target target=t-1 change=Left node=edge-1
 time_ms=2500 level=info event=target target=t-2 change=Left node=edge-1
 time_ms=2600 level=info event=target target=t-1 change=Left node=edge-2
@@ -113,4 +114,6 @@
     let value: serde_json::Value = serde_json::from_slice(&json.stdout).expect("JSON");
     assert_eq!(value["about"].as_array().map(Vec::len), Some(2));
     assert_eq!(run(&["trace", "r-2", &log]).status.code(), Some(1));
+    let refused = text(&run(&["trace", "r-3", &log]));
+    assert!(refused.contains("never sent to a target"), "{refused}");
 }
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -28,8 +28,6 @@
     pub target: Rc<Target>,
     /// Revision of the registration.
     pub revision: Revision,
-    /// When this entry learned of it.
-    pub learned_at: Now,
     /// Until when it is kept although its registration is missing.
     pub lapse_until: Option<Now>,
 }
@@ -94,11 +92,6 @@
         self.targets.get(id)
     }
 
-    /// Returns all targets.
-    pub fn targets(&self) -> impl Iterator<Item = &Known> {
-        self.targets.values()
-    }
-
     /// Returns the ids of the targets of a service.
     pub fn service(&self, name: &str) -> &[TargetId] {
         self.services.get(name).map_or(&[], Vec::as_slice)
@@ -188,9 +181,7 @@
             (Subject::Bundle, Some(Fact::Bundle(bundle))) => self.put_bundle(bundle, revision),
             // A bundle stays in force until a newer one replaces it.
             (Subject::Bundle, _) => Effect::None,
-            (Subject::Target(_), Some(Fact::Target(target))) => {
-                self.put_target(now, target, revision)
-            }
+            (Subject::Target(_), Some(Fact::Target(target))) => self.put_target(target, revision),
             (Subject::Target(id), None) => self.remove_target(now, id, revision),
             (Subject::Target(id), Some(fact)) => {
                 // A registration that cannot be read names no target to use.
@@ -230,7 +221,7 @@
         Effect::BundleInForce(version)
     }
 
-    fn put_target(&mut self, now: Now, target: Rc<Target>, revision: Revision) -> Effect {
+    fn put_target(&mut self, target: Rc<Target>, revision: Revision) -> Effect {
         let id = target.id.clone();
         let before = self.targets.get(&id);
         let change = match before {
@@ -250,7 +241,6 @@
         let known = Known {
             target,
             revision,
-            learned_at: now,
             lapse_until: None,
         };
         self.targets.insert(id.clone(), known);
--- a/entry/src/send.rs
+++ b/entry/src/send.rs
@@ -24,6 +24,9 @@
 /// can still be replaced by that of another target.
 const READ_AHEAD_BYTES: usize = 96 * 1024;
 
+/// Time below which a request that ran out of time says nothing about the target.
+const SHORT_ATTEMPT: Duration = Duration::from_millis(500);
+
 /// Weight of the newest answer in the usual size.
 const SIZE_GAIN: f64 = 0.1;
 
@@ -154,7 +157,7 @@
                 return;
             }
             // A request that ended with its own time says little about the target.
-            Err(_) if now >= self.latest && now.saturating_sub(sent_at) < SHORT => return,
+            Err(_) if now >= self.latest && now.saturating_sub(sent_at) < SHORT_ATTEMPT => return,
             Err(_) => false,
         };
         node.with_book(id, |book| book.answered(now, good));
@@ -246,9 +249,6 @@
     }
 }
 
-/// Time below which a request that ran out of time says nothing about the target.
-const SHORT: Duration = Duration::from_millis(500);
-
 /// Returns true for statuses that promise that a request has not run.
 fn is_refusal(status: StatusCode) -> bool {
     matches!(
