--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -183,12 +183,12 @@
     Watch(Revision),
 }
 
-/// Reads all keys. Returns the time that they stand for, if it is known, and the records.
+/// Reads all keys. Returns when the first page was asked for, and the records.
 async fn list(
     node: &Rc<Node>,
     client: &mut Client,
     currency: Currency,
-) -> Result<(Option<Now>, Update), StoreError> {
+) -> Result<(Now, Update), StoreError> {
     let asked_at = node.now();
     let mut records = Vec::new();
     let mut revision = None;
@@ -216,9 +216,9 @@
         whole: currency == Currency::Current,
         records,
     };
-    // Recent state may be seconds old.
-    let confirmed_at = (currency == Currency::Current).then_some(asked_at);
-    Ok((confirmed_at, update))
+    // Recent state may be seconds old, but the first watch follows within a second and brings the
+    // rest. Entries that start together could not follow each other until then.
+    Ok((asked_at, update))
 }
 
 fn newest(records: &[Record]) -> Revision {
@@ -231,7 +231,7 @@
     client: &mut Client,
     after: Revision,
     wait: Duration,
-) -> Result<(Option<Now>, Update), StoreError> {
+) -> Result<(Now, Update), StoreError> {
     let request = store::watch(&client.host(), FOLLOWED_PREFIX, after, wait);
     let (status, body) = client.call("watch", request, wait).await?;
     let events = store::decode_events(status, &body)?;
@@ -240,7 +240,7 @@
         whole: false,
         records: events.records,
     };
-    Ok((Some(node.now()), update))
+    Ok((node.now(), update))
 }
 
 /// Takes an update over into ledger and view, and passes it on to followers.
--- a/entry/src/node.rs
+++ b/entry/src/node.rs
@@ -199,12 +199,10 @@
     }
 
     /// Notes that the store itself told what is known, and when it confirmed it.
-    pub fn follows_store(&self, confirmed_at: Option<Now>) {
+    pub fn follows_store(&self, confirmed_at: Now) {
         self.path.borrow_mut().clear();
         self.searching_since.set(None);
-        if let Some(confirmed_at) = confirmed_at {
-            follow::confirmed(self, confirmed_at);
-        }
+        follow::confirmed(self, confirmed_at);
     }
 
     /// Notes what another entry, from which knowledge comes on `path`, tells of itself.
