Keep the product's own header fields as a dialect

The rework had dropped what the former program speaks (request-deadline-ms, request-not-run, load-report, the outcome of its own answers). A setting now names the fields; the platform's template asks for the platform's.

--- a/cli/tests/commands.rs
+++ b/cli/tests/commands.rs
@@ -54,8 +54,8 @@
     let shown = text(&output);
     assert_eq!(output.status.code(), Some(1), "{shown}");
     for fault in [
-        "entry.yaml:8: callers",
-        "entry.yaml:15: grace_s",
+        "entry.yaml:9: callers",
+        "entry.yaml:16: grace_s",
         "entry.yaml.in:2: \"zome\"",
     ] {
         assert!(shown.contains(fault), "{fault} in {shown}");
--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -18,6 +18,9 @@
 use crate::node::Node;
 use crate::status;
 
+/// Path of the readiness check of the product's own interface.
+const OWN_READY_PATH: &str = "/ready";
+
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 
@@ -62,8 +65,8 @@
     request: &Request<Incoming>,
 ) -> Response<Full<Bytes>> {
     let (status, body) = match request.uri().path() {
-        READY_PATH if node.is_ready() => (StatusCode::OK, "ready\n".into()),
-        READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
+        READY_PATH | OWN_READY_PATH if node.is_ready() => (StatusCode::OK, "ready\n".into()),
+        READY_PATH | OWN_READY_PATH => (StatusCode::SERVICE_UNAVAILABLE, "not ready\n".into()),
         METRICS_PATH => (StatusCode::OK, metrics.render()),
         STATUS_PATH => (StatusCode::OK, status::report(node).to_string()),
         _ => (StatusCode::NOT_FOUND, "not found\n".into()),
--- a/entry/src/answer.rs
+++ b/entry/src/answer.rs
@@ -165,6 +165,14 @@
         Self::unknown(status, reason)
     }
 
+    /// Returns true if a target may have run the request.
+    pub fn may_have_run(&self) -> bool {
+        matches!(
+            self.status,
+            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT
+        )
+    }
+
     /// Builds the answer.
     pub fn response(self) -> Response<AnswerBody> {
         let body = Bytes::from_static(self.reason.as_bytes());
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod caller;
 pub mod connection;
+pub mod dialect;
 pub mod error;
 pub mod feed;
 pub mod follow;
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -11,7 +11,6 @@
 use lacewingmoor_control::Now;
 use lacewingmoor_control::book::Load;
 use lacewingmoor_control::facts::Target;
-use lacewingmoor_platform::headers;
 use slog::debug;
 use tokio::sync::mpsc;
 
@@ -139,20 +138,24 @@
         .collect()
         .await
         .map_err(|e| Unusable::Unreachable(e.to_string()))?;
-    if headers::target_id(&head.headers).is_some_and(|id| id != &*target.id) {
+    let dialect = node.settings.dialect;
+    if dialect
+        .target_id(&head.headers)
+        .is_some_and(|id| id != &*target.id)
+    {
         return Err(Unusable::OtherTarget);
     }
-    let load = headers::load(&head.headers);
+    let load = dialect.load(&head.headers, target.slots);
     let now = node.now();
     node.with_book(&target.id, |book| {
         if let Some(load) = load {
             book.reported(now, load);
         }
-        if let Some(left) = headers::warmup_left(&head.headers) {
+        if let Some(left) = dialect.warmup_left(&head.headers) {
             book.warmup(now, left);
         }
     });
-    if headers::is_not_run(head.status, &head.headers) {
+    if dialect.is_not_run(head.status, &head.headers) {
         return Err(Unusable::Full);
     }
     let healthy = head.status == StatusCode::OK;
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -15,7 +15,6 @@
 use lacewingmoor_control::facts::TargetId;
 use lacewingmoor_control::place::Offer;
 use lacewingmoor_control::place::WorkTime;
-use lacewingmoor_platform::headers;
 use slog::{debug, info};
 
 use crate::answer::{AnswerBody, Own};
@@ -61,15 +60,6 @@
     reason: &'static str,
 }
 
-impl From<Own> for End {
-    fn from(own: Own) -> Self {
-        Self {
-            reason: own.reason,
-            response: own.response(),
-        }
-    }
-}
-
 /// Serves one request.
 ///
 /// # Errors
@@ -97,7 +87,14 @@
             response,
             reason: "answered",
         },
-        Err(own) => own.into(),
+        Err(own) => {
+            let mut response = own.response();
+            node.settings.dialect.mark_own(&mut response, &own);
+            End {
+                response,
+                reason: own.reason,
+            }
+        }
     };
     course.log(&head.headers, &end);
     request_ended(end.reason);
@@ -137,13 +134,18 @@
         self.route = Some((bundle.clone(), route_id));
         let route = &bundle.routes[route_id];
         let service = self.service(&bundle, route)?;
-        let deadline = headers::deadline(&head.headers).unwrap_or(DEADLINE_DEFAULT);
+        let deadline = self
+            .node
+            .settings
+            .dialect
+            .deadline(&head.headers)
+            .unwrap_or(DEADLINE_DEFAULT);
         let body = read_body(body, bundle.limits.body_bytes_max).await?;
         let mut head = head.clone();
         clean(&mut head);
         let latest = self.arrived + deadline.min(route.timeout);
         let outgoing = Outgoing {
-            request_id: headers::request_id(&head.headers),
+            request_id: self.node.settings.dialect.request_id(&head.headers),
             head: &head,
             body: &body,
             repeat: route.repeat,
@@ -385,7 +387,7 @@
         let load = sent.map(|sent| &sent.offer.load);
         info!(
             self.node.log, "request";
-            "request" => headers::request_id(headers).unwrap_or("-"),
+            "request" => self.node.settings.dialect.request_id(headers).unwrap_or("-"),
             "route" => route, "version" => version,
             "status" => end.response.status().as_u16(), "reason" => end.reason,
             "attempts" => self.attempts.sent(), "rounds" => self.rounds,
--- a/entry/src/send.rs
+++ b/entry/src/send.rs
@@ -13,7 +13,6 @@
 use lacewingmoor_control::attempt::Outcome;
 use lacewingmoor_control::facts::{Target, TargetId};
 use lacewingmoor_control::place::Offer;
-use lacewingmoor_platform::headers;
 
 use crate::answer::{AnswerBody, remove_hop_by_hop};
 use crate::connection::Connection;
@@ -106,7 +105,7 @@
         let _in_flight = InFlight::new(node, target.id.clone());
         let sent_at = node.now();
         let left = self.latest.saturating_sub(sent_at);
-        let request = self.request(left, &target.id);
+        let request = self.request(node, left, &target.id);
         node.traffic.attempts.increment(1);
         let answer = tokio::time::timeout_at(node.instant(self.latest), connection.send(request));
         let answer = match answer.await {
@@ -121,12 +120,15 @@
         answer
     }
 
-    fn request(&self, left: Duration, target_id: &str) -> Request<Bytes> {
+    fn request(&self, node: &Node, left: Duration, target_id: &str) -> Request<Bytes> {
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
         *request.headers_mut() = self.head.headers.clone();
-        headers::set_target_fields(request.headers_mut(), left, target_id);
+        let fields = request.headers_mut();
+        node.settings
+            .dialect
+            .set_target_fields(fields, left, target_id);
         request
     }
 
@@ -172,12 +174,14 @@
     ) -> Result<Response<AnswerBody>, Failed> {
         let (mut head, mut body) = answer.into_parts();
         let fields = &head.headers;
-        let other_request = headers::request_id(fields)
+        let dialect = node.settings.dialect;
+        let other_request = dialect
+            .request_id(fields)
             .is_some_and(|id| self.request_id.is_some_and(|own| own != id));
         if other_request {
             return Err(Failed::new(Outcome::Broken, "answer to another request"));
         }
-        if headers::is_not_run(head.status, fields) {
+        if dialect.is_not_run(head.status, fields) {
             let outcome = match head.status {
                 StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
                 _ => Outcome::NotRun,
@@ -192,7 +196,7 @@
             }
             return Err(Failed::new(outcome, why));
         }
-        let signed = headers::is_signed(fields);
+        let signed = dialect.is_signed(fields);
         if head.status.is_success() && !signed {
             return Err(Failed::new(Outcome::Broken, "success without signature"));
         }
@@ -202,7 +206,7 @@
             return Err(Failed::new(Outcome::Broken, why));
         }
         let (read, whole) = self.read(&mut body, node).await?;
-        let load = headers::load(&head.headers);
+        let load = dialect.load(&head.headers, target.slots);
         remove_hop_by_hop(&mut head.headers);
         self.note_size(node, read.len());
         if whole {
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -9,6 +9,7 @@
 use lacewingmoor_derive::value;
 use serde::Deserialize;
 
+use crate::dialect::Dialect;
 use crate::error::Error;
 
 /// Lines a second that are logged by default. At 200 bytes a line this is 40 KB/s.
@@ -29,6 +30,8 @@
     pub region: String,
     /// Region of every zone.
     pub regions: Map<String, String>,
+    /// Header fields that callers and targets speak.
+    pub dialect: Dialect,
     /// Address for callers.
     pub callers: String,
     /// Address of the readiness check.
@@ -107,6 +110,8 @@
     pub region: String,
     /// Region of every zone.
     pub regions: Map<String, String>,
+    /// Header fields that callers and targets speak.
+    pub dialect: Dialect,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address of the readiness check.
@@ -257,6 +262,7 @@
             zone: check.name("zone", raw.zone),
             region: check.name("region", raw.region),
             regions: raw.regions,
+            dialect: raw.dialect,
             callers: check.addr("callers", &raw.callers),
             ready: check.addr("ready", &raw.ready),
             metrics: check.addr("metrics", &raw.metrics),
--- /dev/null
+++ b/entry/tests/dialect.rs
@@ -0,0 +1,83 @@
+//! Guards against changes of the product's own header fields.
+
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, StatusCode};
+use lacewingmoord::answer::Own;
+use lacewingmoord::dialect::Dialect;
+use rstest::rstest;
+
+fn fields(name: &'static str, value: &'static str) -> HeaderMap {
+    let mut fields = HeaderMap::new();
+    fields.insert(
+        HeaderName::from_static(name),
+        HeaderValue::from_static(value),
+    );
+    fields
+}
+
+struct ReportCase {
+    report: &'static str,
+    running: Option<u32>,
+    cold: Option<bool>,
+}
+
+#[rstest]
+#[case::warm(ReportCase { report: "state=warm in_flight=2 queue=1 start=abc", running: Some(2), cold: Some(false) })]
+#[case::cold(ReportCase { report: "state=cold in_flight=0 queue=0", running: Some(0), cold: Some(true) })]
+#[case::warming(ReportCase { report: "state=warming in_flight=1 queue=0", running: Some(1), cold: Some(true) })]
+#[case::incomplete(ReportCase { report: "state=warm queue=0", running: None, cold: Some(false) })]
+#[case::no_number(ReportCase { report: "in_flight=x queue=0", running: None, cold: None })]
+fn own_load_reports_are_read(#[case] case: ReportCase) {
+    let fields = fields("load-report", case.report);
+    let load = Dialect::Native.load(&fields, 6);
+    assert_eq!(load.map(|l| l.running), case.running);
+    assert!(load.is_none_or(|l| l.slots == 6));
+    let left = Dialect::Native.warmup_left(&fields);
+    assert_eq!(left.map(|left| !left.is_zero()), case.cold);
+}
+
+#[test]
+fn own_deadlines_pass_both_ways() {
+    let dialect = Dialect::Native;
+    let stated = dialect.deadline(&fields("request-deadline-ms", "900"));
+    assert_eq!(stated, Some(Duration::from_millis(900)));
+    assert_eq!(
+        dialect.deadline(&fields("request-deadline-ms", "soon")),
+        None
+    );
+    let mut sent = HeaderMap::new();
+    dialect.set_target_fields(&mut sent, Duration::from_millis(70), "t");
+    assert_eq!(sent["request-deadline-ms"], "70");
+    assert_eq!(sent.len(), 1, "no field of the platform goes out");
+}
+
+#[rstest]
+#[case(&fields("request-not-run", "true"), true)]
+#[case(&fields("request-not-run", "no"), false)]
+#[case(&HeaderMap::new(), false)]
+fn own_refusals_of_targets_are_stated(#[case] fields: &HeaderMap, #[case] not_run: bool) {
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    assert_eq!(Dialect::Native.is_not_run(status, fields), not_run);
+}
+
+#[rstest]
+#[case(
+    Own::not_run("no target in time", Duration::from_millis(100)),
+    "not-run"
+)]
+#[case(Own::invalid(StatusCode::NOT_FOUND, "no route"), "not-run")]
+#[case(
+    Own::unknown(StatusCode::GATEWAY_TIMEOUT, "outcome unknown"),
+    "unknown"
+)]
+#[case(Own::unknown(StatusCode::BAD_GATEWAY, "outcome unknown"), "unknown")]
+fn own_answers_tell_the_outcome(#[case] own: Own, #[case] outcome: &str) {
+    let mut response = own.response();
+    Dialect::Native.mark_own(&mut response, &own);
+    assert_eq!(response.headers()["lacewingmoor-outcome"], outcome);
+    assert_eq!(response.headers()["lacewingmoor-reason"], own.reason);
+    let mut response = own.response();
+    Dialect::Platform.mark_own(&mut response, &own);
+    assert!(!response.headers().contains_key("lacewingmoor-outcome"));
+}
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -75,6 +75,7 @@
         let seeds: Vec<String> = settings.seeds.iter().map(SocketAddr::to_string).collect();
         let document = serde_json::json!({
             "node": settings.name, "zone": settings.zone, "region": region, "regions": regions,
+            "dialect": "platform",
             "callers": callers, "ready": ready, "metrics": metrics, "peers": peers,
             "seeds": seeds, "store": settings.store, "grace_s": settings.grace.as_secs_f64(),
             "apply_ms": 2000, "probes_per_s": 60.0,
