Log a configuration that cannot be used; drop what nothing uses

An unusable configuration in the store was passed over without a log line, although every other unusable item has one; the bundle in force stays as before. The two tests of that are one table that also asserts what is told.

--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -180,7 +180,8 @@
         match (change.subject, change.fact) {
             (Subject::Bundle, Some(Fact::Bundle(bundle))) => self.put_bundle(bundle, revision),
             // A bundle stays in force until a newer one replaces it.
-            (Subject::Bundle, _) => Effect::None,
+            (Subject::Bundle, None) => Effect::None,
+            (Subject::Bundle, Some(fact)) => unusable(fact),
             (Subject::Target(_), Some(Fact::Target(target))) => self.put_target(target, revision),
             (Subject::Target(id), None) => self.remove_target(now, id, revision),
             (Subject::Target(id), Some(fact)) => {
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -33,33 +33,26 @@
     assert_eq!(view.bundle().map(|b| b.version), Some(case.in_force));
 }
 
-#[test]
-fn unusable_bundle_leaves_the_one_in_force() {
-    let mut view = View::default();
-    view.apply(ms(0), bundle_change(3, 10));
-    view.apply(
-        ms(0),
-        Change {
-            subject: Subject::Bundle,
-            revision: 11,
-            fact: Some(Fact::Unusable("cut short".into())),
-        },
-    );
-    assert_eq!(view.bundle().map(|b| b.version), Some(3));
+struct KeptCase {
+    fact: Option<Fact>,
+    effect: Effect,
 }
 
-#[test]
-fn removed_bundle_stays_in_force() {
+#[rstest]
+#[case::unusable(KeptCase {
+    fact: Some(Fact::Unusable("cut short".into())),
+    effect: Effect::Unusable("cut short".into()),
+})]
+#[case::removed(KeptCase { fact: None, effect: Effect::None })]
+fn bundle_in_force_stays_and_an_unusable_one_is_told(#[case] case: KeptCase) {
     let mut view = View::default();
     view.apply(ms(0), bundle_change(3, 10));
-    view.apply(
-        ms(0),
-        Change {
-            subject: Subject::Bundle,
-            revision: 11,
-            fact: None,
-        },
-    );
+    let change = Change {
+        subject: Subject::Bundle,
+        revision: 11,
+        fact: case.fact,
+    };
+    assert_eq!(view.apply(ms(0), change), case.effect);
     assert_eq!(view.bundle().map(|b| b.version), Some(3));
 }
 
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -140,18 +140,15 @@
     // Entries that start together know of each other once all have registered.
     let mut better_check_at = node.now();
     loop {
-        let step = match node.ledger.borrow().revision() {
-            0 => Step::List,
-            revision => Step::Watch(revision),
-        };
-        let read = match step {
-            Step::List => list(node, &mut client, Currency::Recent).await,
-            Step::Watch(revision) => watch(node, &mut client, revision, wait).await,
+        let revision = node.ledger.borrow().revision();
+        let read = match revision {
+            0 => list(node, &mut client, Currency::Recent).await,
+            _ => watch(node, &mut client, revision, wait).await,
         };
         let (confirmed_at, update) = match read {
             Ok(read) => read,
             Err(StoreError::Answer(store::Error::Compacted)) => {
-                info!(node.log, "store_history_gone"; "revision" => node.ledger.borrow().revision());
+                info!(node.log, "store_history_gone"; "revision" => revision);
                 match list(node, &mut client, Currency::Current).await {
                     Ok(read) => read,
                     Err(error) => return error.into(),
@@ -178,11 +175,6 @@
     }
 }
 
-enum Step {
-    List,
-    Watch(Revision),
-}
-
 /// Reads all keys. Returns when the first page was asked for, and the records.
 async fn list(
     node: &Rc<Node>,
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -30,7 +29,6 @@
 pub struct Relay {
     addr: SocketAddr,
     harm: watch::Sender<Harm>,
-    upstream: Arc<Mutex<SocketAddr>>,
     task: JoinHandle<()>,
 }
 
@@ -44,14 +42,8 @@
         let listener = TcpListener::bind("127.0.0.1:0").await?;
         let addr = listener.local_addr()?;
         let harm = watch::Sender::new(Harm::None);
-        let upstream = Arc::new(Mutex::new(upstream));
-        let task = tokio::spawn(accept(listener, upstream.clone(), harm.subscribe()));
-        Ok(Self {
-            addr,
-            harm,
-            upstream,
-            task,
-        })
+        let task = tokio::spawn(accept(listener, upstream, harm.subscribe()));
+        Ok(Self { addr, harm, task })
     }
 
     /// Returns the address to connect to.
@@ -63,15 +55,6 @@
     pub fn set(&self, harm: Harm) {
         self.harm.send_replace(harm);
     }
-
-    /// Leads new connections to another address.
-    ///
-    /// # Panics
-    ///
-    /// Never: no holder of the lock panics.
-    pub fn lead_to(&self, upstream: SocketAddr) {
-        *self.upstream.lock().expect("no holder of the lock panics") = upstream;
-    }
 }
 
 impl Drop for Relay {
@@ -80,11 +63,7 @@
     }
 }
 
-async fn accept(
-    listener: TcpListener,
-    upstream: Arc<Mutex<SocketAddr>>,
-    harm: watch::Receiver<Harm>,
-) {
+async fn accept(listener: TcpListener, upstream: SocketAddr, harm: watch::Receiver<Harm>) {
     loop {
         let Ok((stream, _)) = listener.accept().await else {
             continue;
@@ -92,10 +71,9 @@
         if *harm.borrow() == Harm::Reset {
             continue;
         }
-        let to = *upstream.lock().expect("no holder of the lock panics");
         let harm = harm.clone();
         tokio::spawn(async move {
-            if let Ok(other) = TcpStream::connect(to).await {
+            if let Ok(other) = TcpStream::connect(upstream).await {
                 join(stream, other, harm).await;
             }
         });
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -73,7 +73,6 @@
     running: u32,
     waiting: u32,
     most_running: u32,
-    warmup_left: Duration,
     runs: Vec<Run>,
     probes: u64,
     cancelled: u64,
@@ -131,11 +130,6 @@
         self.shared.lock().hides_load = true;
     }
 
-    /// Sets how much longer the target says that it is cold.
-    pub fn set_warmup_left(&self, left: Duration) {
-        self.shared.lock().warmup_left = left;
-    }
-
     /// Returns the requests that ran.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
@@ -270,22 +264,20 @@
 }
 
 fn health(shared: &Shared) -> Response<Full<Bytes>> {
-    let (status, warmup_left) = {
+    let status = {
         let mut inner = shared.lock();
         inner.probes += 1;
-        let status = match inner.healthy {
+        match inner.healthy {
             true => StatusCode::OK,
             false => StatusCode::SERVICE_UNAVAILABLE,
-        };
-        (status, inner.warmup_left)
+        }
     };
     let mut response = answer(status, "");
     let fields = response.headers_mut();
     if let Ok(id) = HeaderValue::from_str(&shared.settings.id) {
         fields.insert(headers::INSTANCE_ID, id);
     }
-    let left = HeaderValue::from(warmup_left.as_millis() as u64);
-    fields.insert(headers::WARMUP_MS, left);
+    fields.insert(headers::WARMUP_MS, HeaderValue::from_static("0"));
     shared.add_load(&mut response);
     response
 }
