Close connections whose head takes too long

Cause: head_timeout of the bundle was decoded and checked but nothing used it, and an idle timeout does not end a connection on which half a head has come, so a caller that sends a head byte by byte holds a connection for good.

The stream of a caller now knows whether a head is being read, and fails when it takes longer than the bundle allows. hyper's own header_read_timeout was ruled out: it also runs while a connection is idle between two requests, which the bundle limits separately. A connection counts as idle again once its answer has been written, not once its head has.

--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -1,6 +1,6 @@
 //! Connections of callers.
 
-use std::cell::Cell;
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -8,17 +8,14 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
-use lacewingmoor_control::Now;
 use lacewingmoor_control::stop::Phase;
 use slog::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::node::Node;
+use crate::progress::{CallerStream, Progress, Tracked};
 use crate::request;
 
-/// Idle timeout before the first bundle is there.
-const IDLE_TIMEOUT_DEFAULT: Duration = Duration::from_secs(15);
-
 /// Size of the head that is read before the first bundle is there.
 const HEAD_BYTES_DEFAULT: usize = 16 * 1024;
 
@@ -62,9 +59,6 @@
     }
 }
 
-/// When a connection last became idle; `None` while a request is served.
-struct Idle(Cell<Option<Now>>);
-
 /// Serves the requests of one connection until either side closes it.
 async fn serve(node: Rc<Node>, stream: TcpStream) {
     let _open = Open::new(&node);
@@ -75,24 +69,22 @@
     let head_bytes_max = node
         .bundle()
         .map_or(HEAD_BYTES_DEFAULT, |bundle| bundle.limits.head_bytes_max);
-    let idle = Rc::new(Idle(Cell::new(Some(node.now()))));
+    let progress = Progress::new(node.clone());
+    let stream = CallerStream::new(stream, progress.clone());
     let service = {
         let node = node.clone();
-        let idle = idle.clone();
+        let progress = progress.clone();
         service_fn(move |request| {
             let node = node.clone();
-            let idle = idle.clone();
-            idle.0.set(None);
+            let progress = progress.clone();
+            progress.serve();
             async move {
-                let mut response = request::serve(node.clone(), request).await;
-                idle.0.set(Some(node.now()));
-                if let Ok(response) = &mut response
-                    && node.phase() != Phase::Running
-                {
+                let mut response = request::serve(node.clone(), request).await?;
+                if node.phase() != Phase::Running {
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                response
+                Ok::<_, Infallible>(response.map(|body| Tracked::new(body, progress)))
             }
         })
     };
@@ -124,8 +116,8 @@
                 closing = true;
                 connection.as_mut().graceful_shutdown();
             }
-            () = tokio::time::sleep(idle_left(&node, &idle)), if !closing => {
-                if idle_left(&node, &idle).is_zero() {
+            () = tokio::time::sleep(progress.idle_left()), if !closing => {
+                if progress.idle_left().is_zero() {
                     closing = true;
                     connection.as_mut().graceful_shutdown();
                 }
@@ -133,14 +125,3 @@
         }
     }
 }
-
-/// Returns how long the connection may stay idle.
-fn idle_left(node: &Node, idle: &Idle) -> Duration {
-    let timeout = node
-        .bundle()
-        .map_or(IDLE_TIMEOUT_DEFAULT, |bundle| bundle.limits.idle_timeout);
-    match idle.0.get() {
-        Some(since) => (since + timeout).saturating_sub(node.now()),
-        None => timeout,
-    }
-}
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod place;
 pub mod probe;
 pub mod process;
+pub mod progress;
 pub mod queue;
 pub mod register;
 pub mod request;
