Prove the product's own header fields with real processes

Cause: the fields of `dialect: native` were covered by unit tests of the translation only, so nothing showed that an entry serves callers and targets that never speak the platform's fields.

entry/tests/native.rs starts an entry with that dialect before a target that answers health checks with a load report of its own: a request is served, the target is told the time left and gets no foreign field, and a request that the target declines is refused as not run.

--- /dev/null
+++ b/entry/tests/native.rs
@@ -0,0 +1,144 @@
+//! Guards against an entry that needs the users' platform: callers and targets that speak the
+//! product's own header fields, with real processes.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::rc::Rc;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use common::{lanes, until};
+use http::{HeaderMap, Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt as _, Full};
+use hyper::body::Incoming;
+use hyper_util::rt::TokioIo;
+use lacewingmoor_control::facts::Target;
+use lacewingmoor_standin::entry::{EntryProcess, EntrySettings};
+use lacewingmoor_standin::fleet::{HOST, bundle};
+use lacewingmoor_standin::server::{Reply, Server};
+use lacewingmoor_standin::store::Store;
+use lacewingmoor_standin::target::HEALTH_PATH;
+use tokio::net::TcpStream;
+
+const LOOPBACK: ([u8; 4], u16) = ([127, 0, 0, 1], 0);
+
+/// Heads of requests that a target got, health checks aside.
+type Heads = Arc<Mutex<Vec<HeaderMap>>>;
+
+/// Starts a target that speaks the product's own fields; `sheds` makes it decline requests.
+async fn target(sheds: bool) -> (Server, Heads) {
+    let heads = Heads::default();
+    let seen = heads.clone();
+    let server = Server::start(LOOPBACK.into(), move |request: Request<Incoming>| {
+        let seen = seen.clone();
+        async move { serve(&seen, sheds, request) }
+    });
+    (server.await.expect("the target starts"), heads)
+}
+
+fn serve(seen: &Heads, sheds: bool, request: Request<Incoming>) -> Reply {
+    let response = Response::builder().header("load-report", "state=warm in_flight=0 queue=0");
+    let is_question = request.uri().path() == HEALTH_PATH;
+    if !is_question {
+        let mut seen = seen.lock().expect("no holder panics");
+        seen.push(request.headers().clone());
+    }
+    let response = match sheds && !is_question {
+        true => response
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header("request-not-run", "true"),
+        false => response,
+    };
+    Ok(response
+        .body("lane 4".into())
+        .expect("the fields are valid"))
+}
+
+/// Starts an entry in front of one target; the directory holds its files.
+async fn entry_before(target: SocketAddr) -> (EntryProcess, Store, tempfile::TempDir) {
+    let store = Store::start(LOOPBACK.into()).await;
+    let store = store.expect("the store starts");
+    store.put_bundle(&bundle(1, &[lanes()]));
+    store.put_target(&Target {
+        id: Rc::from("t-1"),
+        service: lanes().name.into(),
+        addr: target,
+        zone: Rc::from("north-a"),
+        region: Rc::from("north"),
+        slots: 4,
+        draining: false,
+        warmup_left: Duration::ZERO,
+        born_unix_ms: None,
+    });
+    let dir = tempfile::tempdir().expect("a directory can be made");
+    let settings = EntrySettings {
+        name: "entry-0".into(),
+        zone: "north-a".into(),
+        regions: vec![("north-a".into(), "north".into())],
+        dialect: "native",
+        store: store.addr(),
+        seeds: Vec::new(),
+        grace: Duration::from_secs(6),
+    };
+    let binary = Path::new(env!("CARGO_BIN_EXE_lacewingmoord"));
+    let entry = EntryProcess::start(binary, dir.path(), &settings).expect("the entry starts");
+    (entry, store, dir)
+}
+
+async fn send(entry: &EntryProcess, method: Method, path: &str) -> Option<(StatusCode, HeaderMap)> {
+    let stream = TcpStream::connect(entry.callers).await.ok()?;
+    let (mut sender, connection) = hyper::client::conn::http1::handshake(TokioIo::new(stream))
+        .await
+        .ok()?;
+    tokio::spawn(connection);
+    let request = Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", HOST)
+        .header("request-deadline-ms", "1500")
+        .body(Full::<bytes::Bytes>::default())
+        .ok()?;
+    let answer = sender.send_request(request).await.ok()?;
+    let (head, body) = answer.into_parts();
+    body.collect().await.ok()?;
+    Some((head.status, head.headers))
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_are_served_with_own_fields() {
+    let (target, heads) = target(false).await;
+    let (entry, _store, _dir) = entry_before(target.addr()).await;
+    until("a request is served", async || {
+        let answer = send(&entry, Method::GET, "/lanes/read/1").await;
+        answer.is_some_and(|(status, _)| status == StatusCode::OK)
+    })
+    .await;
+    let heads = heads.lock().expect("no holder panics");
+    let head = heads.last().expect("the target got the request");
+    let left_ms: u64 = head["request-deadline-ms"]
+        .to_str()
+        .ok()
+        .and_then(|text| text.parse().ok())
+        .expect("the time left is a number");
+    assert!(left_ms <= 1500, "{left_ms} ms");
+    let foreign = head.keys().find(|name| name.as_str().starts_with("x-"));
+    assert_eq!(foreign, None, "no field of the platform reaches the target");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn declined_request_is_refused_with_its_outcome() {
+    let (target, heads) = target(true).await;
+    let (entry, _store, _dir) = entry_before(target.addr()).await;
+    until("a request reaches the target", async || {
+        send(&entry, Method::POST, "/lanes/write/1").await;
+        !heads.lock().expect("no holder panics").is_empty()
+    })
+    .await;
+    let answer = send(&entry, Method::POST, "/lanes/write/1").await;
+    let (status, fields) = answer.expect("the entry answers");
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(fields["lacewingmoor-outcome"], "not-run");
+    assert!(fields.contains_key("retry-after"));
+}
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -17,6 +17,8 @@
     pub zone: String,
     /// Region of every zone.
     pub regions: Vec<(String, String)>,
+    /// Header fields that callers and targets speak, as the settings name them.
+    pub dialect: &'static str,
     /// Address of the store.
     pub store: SocketAddr,
     /// Addresses of other entries to start from.
@@ -75,7 +77,7 @@
         let seeds: Vec<String> = settings.seeds.iter().map(SocketAddr::to_string).collect();
         let document = serde_json::json!({
             "node": settings.name, "zone": settings.zone, "region": region, "regions": regions,
-            "dialect": "platform",
+            "dialect": settings.dialect,
             "callers": callers, "ready": ready, "metrics": metrics, "peers": peers,
             "seeds": seeds, "store": settings.store, "grace_s": settings.grace.as_secs_f64(),
             "apply_ms": 2000, "probes_per_s": 60.0,
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -185,6 +185,7 @@
             regions: regions
                 .map(|(z, r)| ((*z).to_owned(), (*r).to_owned()))
                 .collect(),
+            dialect: "platform",
             store,
             seeds,
             grace: Duration::from_secs(6),
