End the cooldown of sources while the store is followed

Cooldowns were only cleared in choose(), which is not called while a source is followed; better() looked at the uncleared ones, so an entry whose two better entries had both failed once never went back.

Ruled out: lost registrations (renewals all succeed, no entry is removed), old sources (no source is lost between 10 s and the end).

better() and choose() now compare the end of a cooldown with the time. control/tests/source.rs replays it and fails on the code before.

--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -117,15 +117,15 @@
         rng: &mut impl Rng,
     ) -> Source {
         self.cooldown_until.retain(|_, until| *until > now);
-        self.better(view, own)
-            .or_else(|| self.usable(Source::Store))
-            .or_else(|| self.any_peer(view, own, rng))
-            .or_else(|| self.any_seed(own, seeds))
+        self.better(now, view, own)
+            .or_else(|| self.usable(now, Source::Store))
+            .or_else(|| self.any_peer(now, view, own, rng))
+            .or_else(|| self.any_seed(now, own, seeds))
             .unwrap_or(Source::Store)
     }
 
     /// Returns an entry of better rank to follow, if there is one.
-    pub fn better(&self, view: &View, own: &Node) -> Option<Source> {
+    pub fn better(&self, now: Now, view: &View, own: &Node) -> Option<Source> {
         let better: Vec<&Node> = ranked(view)
             .into_iter()
             .take_while(|node| rank(node) < rank(own))
@@ -140,30 +140,31 @@
         };
         first
             .into_iter()
-            .find_map(|node| self.usable(Source::Peer(node.name.clone())))
+            .find_map(|node| self.usable(now, Source::Peer(node.name.clone())))
     }
 
     /// Returns any other entry, those of other zones first: those of the own zone mostly depend on
     /// the same source as this one.
-    fn any_peer(&self, view: &View, own: &Node, rng: &mut impl Rng) -> Option<Source> {
+    fn any_peer(&self, now: Now, view: &View, own: &Node, rng: &mut impl Rng) -> Option<Source> {
         let mut nodes: Vec<&Node> = ranked(view);
         nodes.retain(|node| node.name != own.name);
         nodes.shuffle(rng);
         nodes.sort_by_key(|node| (node.zone == own.zone, node.region != own.region));
         nodes
             .iter()
-            .find_map(|node| self.usable(Source::Peer(node.name.clone())))
+            .find_map(|node| self.usable(now, Source::Peer(node.name.clone())))
     }
 
-    fn any_seed(&self, own: &Node, seeds: &[SocketAddr]) -> Option<Source> {
+    fn any_seed(&self, now: Now, own: &Node, seeds: &[SocketAddr]) -> Option<Source> {
         seeds
             .iter()
             .filter(|addr| **addr != own.addr)
-            .find_map(|addr| self.usable(Source::Seed(*addr)))
+            .find_map(|addr| self.usable(now, Source::Seed(*addr)))
     }
 
-    fn usable(&self, source: Source) -> Option<Source> {
-        (!self.cooldown_until.contains_key(&source)).then_some(source)
+    fn usable(&self, now: Now, source: Source) -> Option<Source> {
+        let until = self.cooldown_until.get(&source);
+        until.is_none_or(|until| *until <= now).then_some(source)
     }
 }
 
--- a/control/tests/source.rs
+++ b/control/tests/source.rs
@@ -124,6 +124,19 @@
     );
 }
 
+/// Every entry that an outage had sent to the store stayed there for good.
+#[test]
+fn entry_that_follows_the_store_returns_to_a_source_that_failed() {
+    let mut sources = Sources::default();
+    sources.failed(ms(0), &peer("n1"), Failure::Old);
+    sources.failed(ms(0), &peer("n2"), Failure::Old);
+    let (view, own) = (view(), own("n3"));
+    let chosen = sources.choose(ms(100), &view, &own, &[], &mut rng());
+    assert_eq!(chosen, Source::Store);
+    assert_eq!(sources.better(ms(500), &view, &own), None);
+    assert_eq!(sources.better(ms(5000), &view, &own), Some(peer("n1")));
+}
+
 struct StateCase {
     age_ms: u64,
     searching_ms: u64,
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -131,6 +131,12 @@
     }
 }
 
+/// Returns true if there is an entry of better rank to follow.
+fn is_better(node: &Node, sources: &Sources) -> bool {
+    let view = node.view.borrow();
+    sources.better(node.now(), &view, &node.own).is_some()
+}
+
 /// Follows the store until it fails.
 async fn follow_store(node: &Rc<Node>, sources: &Sources) -> Error {
     let mut client = Client::new(node);
@@ -162,7 +168,7 @@
         learn(node, update);
         if node.now() >= better_check_at {
             better_check_at = node.now() + BETTER_CHECK;
-            if sources.better(&node.view.borrow(), &node.own).is_some() {
+            if is_better(node, sources) {
                 return Error::BetterSource;
             }
         }
