Find the other entries by a listing; take over the registration of an earlier process

They looked for a better source right after their first listing, when nobody had registered, and again only 2 s later, with two watches more. A process that was killed and started again wrote a lease and a registration although its own was still in place; one that was stopped ended it first, which is a third write.

Ruled out: looking sooner without a call, since a start has no other knowledge of the fleet; following a seed at the start, since three seeds of 10 Mbit/s would send everything to 125 entries.

After the pause at the start an entry now lists the keys of entries from recent state, a tenth of the price of a watch, and leaves at once for its source. A registration is left to end with its lease; a process that starts reads its own key from recent state and renews that lease.

--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -8,7 +8,7 @@
 use lacewingmoor_control::ledger::Update;
 use lacewingmoor_control::source::{Failure, Source, Sources};
 use lacewingmoor_control::view::Effect;
-use lacewingmoor_platform::registry::{self, FOLLOWED_PREFIX};
+use lacewingmoor_platform::registry::{self, FOLLOWED_PREFIX, NODES_PREFIX};
 use lacewingmoor_platform::store::{self, Currency};
 use quick_error::quick_error;
 use rand::RngExt as _;
@@ -143,19 +143,18 @@
     // The first watch only asks whether there is news, so that followers need not wait for it.
     let mut wait = Duration::ZERO;
     let mut starting = node.ledger.borrow().revision() == 0;
-    // Entries that start together know of each other once all have registered.
     let mut better_check_at = node.now();
     loop {
         let revision = node.ledger.borrow().revision();
         let read = match revision {
-            0 => list(node, &mut client, Currency::Recent).await,
+            0 => list(node, &mut client, FOLLOWED_PREFIX, Currency::Recent).await,
             _ => watch(node, &mut client, revision, wait).await,
         };
         let (confirmed_at, update) = match read {
             Ok(read) => read,
             Err(StoreError::Answer(store::Error::Compacted)) => {
                 info!(node.log, "store_history_gone"; "revision" => revision);
-                match list(node, &mut client, Currency::Current).await {
+                match list(node, &mut client, FOLLOWED_PREFIX, Currency::Current).await {
                     Ok(read) => read,
                     Err(error) => return error.into(),
                 }
@@ -175,16 +174,40 @@
         if starting {
             starting = false;
             tokio::time::sleep(START_PAUSE).await;
+            if let Err(error) = learn_entries(node, &mut client).await {
+                return error.into();
+            }
+            if is_better(node, sources) {
+                return Error::BetterSource;
+            }
+            better_check_at = node.now();
         } else if changed {
             tokio::time::sleep(node.tuning().apply.mul_f64(BATCH_PAUSE_SHARE)).await;
         }
     }
 }
 
-/// Reads all keys. Returns when the first page was asked for, and the records.
+/// Learns which other entries have registered. Entries that start together know of each other by
+/// this, at a tenth of the price of a watch.
+async fn learn_entries(node: &Rc<Node>, client: &mut Client) -> Result<(), StoreError> {
+    let (_, entries) = list(node, client, NODES_PREFIX, Currency::Recent).await?;
+    // The listing says nothing of other keys.
+    let revision = node.ledger.borrow().revision();
+    learn(
+        node,
+        Update {
+            revision,
+            ..entries
+        },
+    );
+    Ok(())
+}
+
+/// Reads all keys with a prefix. Returns when the first page was asked for, and the records.
 async fn list(
     node: &Rc<Node>,
     client: &mut Client,
+    prefix: &str,
     currency: Currency,
 ) -> Result<(Now, Update), StoreError> {
     let asked_at = node.now();
@@ -192,7 +215,7 @@
     let mut revision = None;
     let mut after: Option<String> = None;
     loop {
-        let request = store::list(&client.host(), FOLLOWED_PREFIX, after.as_deref(), currency);
+        let request = store::list(&client.host(), prefix, after.as_deref(), currency);
         let (status, body) = client.call("list", request, Duration::ZERO).await?;
         let page = store::decode_page(status, &body)?;
         let page_revision = match currency {
--- a/entry/src/register.rs
+++ b/entry/src/register.rs
@@ -5,7 +5,7 @@
 
 use lacewingmoor_control::stop::Phase;
 use lacewingmoor_platform::registry;
-use lacewingmoor_platform::store::{self, LeaseId};
+use lacewingmoor_platform::store::{self, Currency, LeaseId};
 use slog::{info, warn};
 
 use crate::node::Node;
@@ -17,14 +17,15 @@
 /// Interval of renewals: two may fail before the lease ends.
 const RENEW_INTERVAL: Duration = Duration::from_millis(7500);
 
-/// Keeps the registration until the process leaves.
+/// Keeps the registration until the process leaves. It ends with its lease, so that a process that
+/// is started again soon finds it in place.
 pub async fn keep(node: Rc<Node>) {
     let mut client = Client::new(&node);
     let mut lease: Option<LeaseId> = None;
     while node.phase() == Phase::Running {
         let result = match lease {
             Some(id) => renew(&mut client, id).await.map(|()| id),
-            None => register(&node, &mut client).await,
+            None => join(&node, &mut client).await,
         };
         match result {
             Ok(id) => {
@@ -34,7 +35,7 @@
             }
             Err(error) => {
                 warn!(node.log, "registration_failed"; "cause" => %error);
-                if matches!(error, Error::Answer(store::Error::Missing)) {
+                if is_missing(&error) {
                     lease = None;
                     continue;
                 }
@@ -45,12 +46,34 @@
             () = node.reached(Phase::Leaving) => {}
         }
     }
-    if let Some(id) = lease {
-        let request = store::end_lease(&client.host(), id);
-        if let Err(error) = client.call("end_lease", request, Duration::ZERO).await {
-            warn!(node.log, "registration_not_ended"; "cause" => %error);
+}
+
+/// Takes over the registration of an earlier process of this VM, or registers.
+async fn join(node: &Node, client: &mut Client) -> Result<LeaseId, Error> {
+    if let Some(lease) = registered(node, client).await? {
+        match renew(client, lease).await {
+            Ok(()) => return Ok(lease),
+            Err(error) if is_missing(&error) => {}
+            Err(error) => return Err(error),
         }
     }
+    register(node, client).await
+}
+
+/// Returns the lease of the own registration if there is one as it should be.
+async fn registered(node: &Node, client: &mut Client) -> Result<Option<LeaseId>, Error> {
+    let key = registry::node_key(&node.settings.node);
+    let request = store::read(&client.host(), &key, Currency::Recent);
+    let (status, body) = client.call("read", request, Duration::ZERO).await?;
+    match store::decode_item(status, &body) {
+        Ok(item) if item.record.value == Some(registry::encode_node(&node.own)) => Ok(item.lease),
+        Ok(_) | Err(store::Error::Missing) => Ok(None),
+        Err(error) => Err(error.into()),
+    }
+}
+
+fn is_missing(error: &Error) -> bool {
+    matches!(error, Error::Answer(store::Error::Missing))
 }
 
 async fn register(node: &Node, client: &mut Client) -> Result<LeaseId, Error> {
