Tell spells that are seen seldom from a lasting slowness

A target counted as slow for good when its slow reports spanned 1.5 s, and such a target is used as it is. 128 entries ask 81 targets, so one entry hears of a target once in seconds, and two reports from two spells spanned 1.5 s by chance. A request that starts in a spell is slow as a whole and holds its slot four times as long.

--- a/control/src/book.rs
+++ b/control/src/book.rs
@@ -18,6 +18,14 @@
 /// Time for which sends are remembered; reports that are older than this are not used.
 const SENDS_KEPT: Duration = Duration::from_secs(1);
 
+/// Time after which a report of a slow target tells of another spell than the one before. Spells
+/// in which neighbours slow a target down commonly last 300 ms.
+const SLOW_SPELL: Duration = Duration::from_millis(400);
+
+/// Spells in a row, with no report of usual speed in between, after which a target counts as slow
+/// for good. A target that is slow for a quarter of the time shows this once in 1,000 rows.
+const SLOW_SPELLS_MAX: u32 = 5;
+
 /// Weight of the newest answer in the error rate.
 const ERROR_GAIN: f64 = 0.2;
 
@@ -51,7 +59,8 @@
     pub cold_gate: ColdGate,
     /// Sends of this entry in the last second, oldest first.
     sends: VecDeque<Now>,
-    slow_since: Option<Now>,
+    /// Spells in a row in which it was slow, and when the last one was noticed.
+    slow_spells: (u32, Now),
     failures: u32,
     avoid_until: Now,
     error_rate: f64,
@@ -62,16 +71,21 @@
     /// Notes a load report.
     pub fn reported(&mut self, now: Now, load: Load) {
         self.load = Some((load, now));
-        self.slow_since = match load.pace >= PACE_SLOW {
-            true => self.slow_since.or(Some(now)),
-            false => None,
-        };
+        let (spells, noticed_at) = self.slow_spells;
+        if load.pace < PACE_SLOW {
+            self.slow_spells = (0, now);
+        } else if spells == 0 || now >= noticed_at + SLOW_SPELL {
+            self.slow_spells = (spells + 1, now);
+        }
     }
 
-    /// Returns how long every report has said that the target is slow.
-    pub fn slow_for(&self, now: Now) -> Duration {
-        self.slow_since
-            .map_or(Duration::ZERO, |since| now.saturating_sub(since))
+    /// Returns true if the target has been slow in one spell after the other.
+    ///
+    /// Load pattern: many entries, each of which asks a target once in seconds. Two reports from
+    /// two spells look like one long spell, and requests that start in a spell are slow as a whole:
+    /// they hold their slots for several times as long, and the fleet does not get out of a burst.
+    pub fn is_slow_for_good(&self) -> bool {
+        self.slow_spells.0 >= SLOW_SPELLS_MAX
     }
 
     /// Returns what is known of the target besides its load.
@@ -80,7 +94,7 @@
             error_rate: self.error_rate(now),
             cold: self.is_cold(now),
             unhealthy: false,
-            slow_for: self.slow_for(now),
+            slow_for_good: self.is_slow_for_good(),
         }
     }
 
--- a/control/src/place.rs
+++ b/control/src/place.rs
@@ -32,10 +32,6 @@
 /// view of their zone differs.
 const COLD_RATE_SHARE: f64 = 1.2;
 
-/// Longest spell in which neighbours slow a target down. A request that starts in such a spell is
-/// slow as a whole, so the spell is waited out; a target that is slow for longer is used as it is.
-const SLOW_SPELL_MAX: Duration = Duration::from_millis(1500);
-
 /// Pace above which a target counts as slow.
 pub const PACE_SLOW: f64 = 1.5;
 
@@ -182,8 +178,9 @@
     pub cold: bool,
     /// True if it says that it is not healthy.
     pub unhealthy: bool,
-    /// How long it has been slow.
-    pub slow_for: Duration,
+    /// True if it is slow in one spell after the other. A request that starts in a spell is slow as
+    /// a whole, so a spell is waited out; a target that is slow for good is used as it is.
+    pub slow_for_good: bool,
 }
 
 /// Returns how many requests a target of `slots` slots runs at full speed.
@@ -226,7 +223,7 @@
             && record.error_rate < ERROR_RATE_SOUND
             && !record.cold
             && !record.unhealthy,
-        has_room: has_room && (load.pace < PACE_SLOW || record.slow_for > SLOW_SPELL_MAX),
+        has_room: has_room && (load.pace < PACE_SLOW || record.slow_for_good),
     }
 }
 
--- a/control/tests/place.rs
+++ b/control/tests/place.rs
@@ -20,7 +20,7 @@
     error_rate: 0.0,
     cold: false,
     unhealthy: false,
-    slow_for: Duration::ZERO,
+    slow_for_good: false,
 };
 
 struct World {
@@ -163,7 +163,7 @@
 #[case::slow_spell(OfferCase { load: load(0, 0, 4.0), record: SOUND, free: false, has_room: false })]
 #[case::slow_for_good(OfferCase {
     load: load(0, 0, 4.0),
-    record: Record { slow_for: Duration::from_secs(3), ..SOUND },
+    record: Record { slow_for_good: true, ..SOUND },
     free: false,
     has_room: true,
 })]
@@ -287,3 +287,26 @@
         room
     );
 }
+
+struct SlowCase {
+    /// Times and paces of the reports.
+    reports: Vec<(u64, f64)>,
+    slow_for_good: bool,
+}
+
+#[rstest]
+#[case::one_spell(SlowCase { reports: (0..30).map(|i| (i * 10, 4.0)).collect(), slow_for_good: false })]
+#[case::two_spells_seen_seldom(SlowCase { reports: vec![(0, 4.0), (3000, 4.0)], slow_for_good: false })]
+#[case::asked_often_for_two_seconds(SlowCase { reports: (0..40).map(|i| (i * 50, 4.0)).collect(), slow_for_good: true })]
+#[case::slow_whenever_it_is_asked(SlowCase { reports: (0..5).map(|i| (i * 3000, 4.0)).collect(), slow_for_good: true })]
+#[case::usual_speed_in_between(SlowCase {
+    reports: vec![(0, 4.0), (600, 4.0), (1200, 1.0), (1800, 4.0), (2400, 4.0), (3000, 4.0)],
+    slow_for_good: false,
+})]
+fn slow_spells_are_told_from_a_lasting_slowness(#[case] case: SlowCase) {
+    let mut book = Book::default();
+    for (at_ms, pace) in case.reports {
+        book.reported(ms(at_ms), load(0, 0, pace));
+    }
+    assert_eq!(book.is_slow_for_good(), case.slow_for_good);
+}
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -9,8 +9,8 @@
 
 use common::ms;
 use lacewingmoor_control::admit::{Flow, Rank, Step, Waiting, search_for};
-use lacewingmoor_control::book::Load;
-use lacewingmoor_control::place::{Record, offer};
+use lacewingmoor_control::book::{Book, Load};
+use lacewingmoor_control::place::{Offer, offer};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
@@ -27,6 +27,8 @@
 enum Policy {
     /// The best of three targets gets the request at once, and queues it.
     QueueAtTarget,
+    /// As below, but a target counts as slow for good when its slow reports span 1.5 s.
+    SpanOfReports,
     /// The decisions of this package.
     QueueAtEntry,
 }
@@ -38,6 +40,8 @@
     burst: f64,
     burst_s: std::ops::Range<f64>,
     slow_share: f64,
+    /// Share of the reports of targets that reach this entry's books, the others go to other entries.
+    seen_share: f64,
 }
 
 struct Target {
@@ -46,6 +50,8 @@
     /// Requests that wait at the target, by arrival.
     queue: VecDeque<Duration>,
     slow_until: Duration,
+    book: Book,
+    slow_since: Option<Duration>,
 }
 
 struct Replay {
@@ -53,6 +59,7 @@
     targets: Vec<Target>,
     line: Vec<Waiting>,
     rng: StdRng,
+    seen_share: f64,
     asked: u64,
     on_time: u64,
     arrived: u64,
@@ -64,12 +71,15 @@
             running: Vec::new(),
             queue: VecDeque::new(),
             slow_until: Duration::ZERO,
+            book: Book::default(),
+            slow_since: None,
         };
         Self {
             policy,
             targets: (0..pattern.targets).map(|_| target()).collect(),
             line: Vec::new(),
             rng: StdRng::seed_from_u64(7),
+            seen_share: pattern.seen_share,
             asked: 0,
             on_time: 0,
             arrived: 0,
@@ -149,22 +159,35 @@
         }
     }
 
+    /// Asks a target for its load, and notes the report as far as this entry gets to see it.
+    fn ask(&mut self, now: Duration, i: usize) -> Offer {
+        let load = self.report(now, i);
+        let seen = self.rng.random::<f64>() < self.seen_share;
+        let target = &mut self.targets[i];
+        if seen {
+            target.book.reported(now, load);
+            target.slow_since = match load.pace > 1.0 {
+                true => target.slow_since.or(Some(now)),
+                false => None,
+            };
+        }
+        let mut record = target.book.record(now);
+        if self.policy == Policy::SpanOfReports {
+            let since = target.slow_since.unwrap_or(now);
+            record.slow_for_good = now >= since + ms(1500);
+        }
+        offer(load, ms(1), WORK, record)
+    }
+
     /// Asks `count` targets for a request; true if it was placed.
     fn try_place(&mut self, now: Duration, waiting: &Waiting, count: usize) -> bool {
-        let sound = Record {
-            error_rate: 0.0,
-            cold: false,
-            unhealthy: false,
-            slow_for: Duration::ZERO,
-        };
         let asked: Vec<usize> = (0..count)
             .map(|_| self.rng.random_range(0..self.targets.len()))
             .collect();
         self.asked += count as u64;
-        let offers = asked
-            .into_iter()
-            .map(|i| (i, offer(self.report(now, i), ms(1), WORK, sound)));
-        let best = offers.min_by_key(|(_, offer)| offer.expected);
+        let offers: Vec<(usize, Offer)> =
+            asked.into_iter().map(|i| (i, self.ask(now, i))).collect();
+        let best = offers.into_iter().min_by_key(|(_, offer)| offer.expected);
         let Some((i, best)) = best else {
             return false;
         };
@@ -178,11 +201,11 @@
                 self.targets[i].queue.push_back(arrived);
                 true
             }
-            Policy::QueueAtEntry if waiting.step(now, 2, Some(&best)) == Step::Send => {
+            _ if waiting.step(now, 2, Some(&best)) == Step::Send => {
                 self.start(now, i, arrived);
                 true
             }
-            Policy::QueueAtEntry => false,
+            _ => false,
         }
     }
 
@@ -192,11 +215,26 @@
         self.line.sort_by_key(|w| w.rank(now, WORK));
         for _ in 0..self.targets.len().min(self.line.len()) {
             let first = self.line[0].clone();
-            if self.try_place(now, &first, 2) {
+            let placed = match self.policy {
+                Policy::QueueAtTarget => self.try_place(now, &first, 2),
+                Policy::SpanOfReports | Policy::QueueAtEntry => self.hand_over(now, &first),
+            };
+            if placed {
                 self.line.remove(0);
             }
         }
     }
+
+    /// Asks one target for a waiting request, which goes there if there is room.
+    fn hand_over(&mut self, now: Duration, waiting: &Waiting) -> bool {
+        let i = self.rng.random_range(0..self.targets.len());
+        self.asked += 1;
+        let has_room = self.ask(now, i).has_room;
+        if has_room {
+            self.start(now, i, waiting.due - OBJECTIVE);
+        }
+        has_room
+    }
 }
 
 fn shares(pattern: &Pattern) -> (f64, f64) {
@@ -213,6 +251,7 @@
         burst: 1.8,
         burst_s: 2.0..7.0,
         slow_share: 0.0,
+        seen_share: 1.0,
     };
     let (at_target, at_entry) = shares(&pattern);
     assert!(
@@ -230,6 +269,7 @@
         burst: 1.7,
         burst_s: 2.0..7.0,
         slow_share: 0.25,
+        seen_share: 1.0,
     };
     let (at_target, at_entry) = shares(&pattern);
     assert!(
@@ -238,6 +278,22 @@
     );
 }
 
+#[test]
+fn spells_that_are_seen_seldom_do_not_pass_for_a_lasting_slowness() {
+    let pattern = Pattern {
+        targets: 10,
+        per_s: 125.0,
+        burst: 1.6,
+        burst_s: 1.0..4.0,
+        slow_share: 0.25,
+        seen_share: 0.002,
+    };
+    let play = |policy| Replay::new(policy, &pattern).play(&pattern);
+    let by_span = play(Policy::SpanOfReports);
+    let by_spells = play(Policy::QueueAtEntry);
+    assert!(by_spells > by_span, "{by_span:.3} and {by_spells:.3}");
+}
+
 #[test]
 fn nothing_is_lost_on_a_quiet_day() {
     let pattern = Pattern {
@@ -246,6 +302,7 @@
         burst: 1.0,
         burst_s: 0.0..0.0,
         slow_share: 0.25,
+        seen_share: 1.0,
     };
     let (at_target, at_entry) = shares(&pattern);
     assert!(at_entry >= at_target, "{at_target:.3} and {at_entry:.3}");
