Let late requests leave the last slot at full speed to those that can be on time

Ruled out: one line a service for all entries (nothing is agreed on between entries, and a slot is free for milliseconds only); refusing late requests at once, since they can still be served.

--- a/control/src/admit.rs
+++ b/control/src/admit.rs
@@ -55,9 +55,9 @@
         let last_round = rounds > 1;
         match best {
             Some(best) if best.free => Step::Send,
-            Some(best) if best.has_room && (last_round || self.heavy) => {
+            Some(best) if self.may_take(now, best) && (last_round || self.heavy) => {
                 let in_time = now + best.expected <= self.due;
-                // Late anyway, so any target with room will do.
+                // Late anyway, so any target that it may take will do.
                 let late = now >= self.due;
                 if in_time || late || last_round {
                     Step::Send
@@ -103,6 +103,18 @@
         deadline.saturating_sub(now).mul_f64(RETRY_AFTER_SHARE)
     }
 
+    /// Returns true if the request may go to the target that made the offer.
+    ///
+    /// Load pattern: a burst leaves a line of late requests in every entry, and each entry knows
+    /// only its own. If late requests took the last slots, requests at other entries that could
+    /// still be on time would be late in turn, long after the burst.
+    pub fn may_take(&self, now: Now, offer: &Offer) -> bool {
+        match self.rank(now, offer.expected) {
+            Rank::OnTime(..) => offer.has_room,
+            Rank::Late(_) => offer.has_spare_room,
+        }
+    }
+
     /// Returns the rank of the request for a target that frees up; the least goes first.
     ///
     /// Requests that can still be on time come first, the most urgent kind of them first, then the
--- a/control/src/place.rs
+++ b/control/src/place.rs
@@ -32,6 +32,10 @@
 /// view of their zone differs.
 const COLD_RATE_SHARE: f64 = 1.2;
 
+/// Slots at full speed that late requests leave to those that can still be on time: the least that
+/// keeps a target open to them.
+const LATE_RESERVE: u32 = 1;
+
 /// Pace above which a target counts as slow.
 pub const PACE_SLOW: f64 = 1.5;
 
@@ -166,6 +170,8 @@
     pub free: bool,
     /// True if it starts the request at once without slowing down what it runs.
     pub has_room: bool,
+    /// True if it has such room for late requests too.
+    pub has_spare_room: bool,
 }
 
 /// What is known of a target besides its load report.
@@ -215,6 +221,8 @@
         0.0
     };
     let failures = work.mul_f64(record.error_rate * FAILURE_COST + unhealthy);
+    let usable = load.pace < PACE_SLOW || record.slow_for_good;
+    let reserve = LATE_RESERVE.min(room - 1);
     Offer {
         load,
         expected: slowed + failures + round_trip,
@@ -223,7 +231,8 @@
             && record.error_rate < ERROR_RATE_SOUND
             && !record.cold
             && !record.unhealthy,
-        has_room: has_room && (load.pace < PACE_SLOW || record.slow_for_good),
+        has_room: has_room && usable,
+        has_spare_room: ahead + reserve < room && usable,
     }
 }
 
--- a/control/tests/place.rs
+++ b/control/tests/place.rs
@@ -190,6 +190,21 @@
     assert_eq!((made.free, made.has_room), (case.free, case.has_room));
 }
 
+struct SpareCase {
+    load: Load,
+    has_spare_room: bool,
+}
+
+#[rstest]
+#[case::two_at_full_speed_left(SpareCase { load: load(1, 0, 1.0), has_spare_room: true })]
+#[case::last_at_full_speed(SpareCase { load: load(2, 0, 1.0), has_spare_room: false })]
+#[case::slow_spell(SpareCase { load: load(0, 0, 4.0), has_spare_room: false })]
+#[case::one_slot(SpareCase { load: Load { slots: 1, ..load(0, 0, 1.0) }, has_spare_room: true })]
+fn late_requests_leave_the_last_slot_at_full_speed(#[case] case: SpareCase) {
+    let made = offer(case.load, ms(1), ms(100), SOUND);
+    assert_eq!(made.has_spare_room, case.has_spare_room);
+}
+
 #[test]
 fn worse_targets_promise_later_answers() {
     let expected = |load, record| {
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -29,12 +29,15 @@
     QueueAtTarget,
     /// As below, but a target counts as slow for good when its slow reports span 1.5 s.
     SpanOfReports,
+    /// As below, but late requests take the last slots too.
+    LateTakesAll,
     /// The decisions of this package.
     QueueAtEntry,
 }
 
 /// A load pattern.
 struct Pattern {
+    entries: usize,
     targets: usize,
     per_s: f64,
     burst: f64,
@@ -57,7 +60,8 @@
 struct Replay {
     policy: Policy,
     targets: Vec<Target>,
-    line: Vec<Waiting>,
+    /// Waiting requests by entry; an entry knows only its own.
+    lines: Vec<Vec<Waiting>>,
     rng: StdRng,
     seen_share: f64,
     asked: u64,
@@ -77,7 +81,7 @@
         Self {
             policy,
             targets: (0..pattern.targets).map(|_| target()).collect(),
-            line: Vec::new(),
+            lines: vec![Vec::new(); pattern.entries],
             rng: StdRng::seed_from_u64(7),
             seen_share: pattern.seen_share,
             asked: 0,
@@ -155,7 +159,8 @@
             heavy: false,
         };
         if !self.try_place(now, &waiting, 3) {
-            self.line.push(waiting);
+            let entry = self.rng.random_range(0..self.lines.len());
+            self.lines[entry].push(waiting);
         }
     }
 
@@ -209,19 +214,22 @@
         }
     }
 
-    /// Searches for the first requests of the line.
+    /// Searches for the first requests of each line.
     fn search(&mut self, now: Duration) {
-        self.line.retain(|w| now < w.give_up_at(WORK));
-        self.line.sort_by_key(|w| w.rank(now, WORK));
-        for _ in 0..self.targets.len().min(self.line.len()) {
-            let first = self.line[0].clone();
-            let placed = match self.policy {
-                Policy::QueueAtTarget => self.try_place(now, &first, 2),
-                Policy::SpanOfReports | Policy::QueueAtEntry => self.hand_over(now, &first),
-            };
-            if placed {
-                self.line.remove(0);
+        for entry in 0..self.lines.len() {
+            let mut line = std::mem::take(&mut self.lines[entry]);
+            line.retain(|w| now < w.give_up_at(WORK));
+            line.sort_by_key(|w| w.rank(now, WORK));
+            for _ in 0..self.targets.len().min(line.len()) {
+                let placed = match self.policy {
+                    Policy::QueueAtTarget => self.try_place(now, &line[0], 2),
+                    _ => self.hand_over(now, &line[0]),
+                };
+                if placed {
+                    line.remove(0);
+                }
             }
+            self.lines[entry] = line;
         }
     }
 
@@ -229,11 +237,15 @@
     fn hand_over(&mut self, now: Duration, waiting: &Waiting) -> bool {
         let i = self.rng.random_range(0..self.targets.len());
         self.asked += 1;
-        let has_room = self.ask(now, i).has_room;
-        if has_room {
+        let offer = self.ask(now, i);
+        let takes = match self.policy {
+            Policy::LateTakesAll => offer.has_room,
+            _ => waiting.may_take(now, &offer),
+        };
+        if takes {
             self.start(now, i, waiting.due - OBJECTIVE);
         }
-        has_room
+        takes
     }
 }
 
@@ -246,6 +258,7 @@
 fn burst_above_crowded_capacity_is_served_on_time() {
     // Full targets answer 4 / 1.7 / 0.16 = 14.7 a second each, targets at full speed 18.8.
     let pattern = Pattern {
+        entries: 1,
         targets: 10,
         per_s: 90.0,
         burst: 1.8,
@@ -264,6 +277,7 @@
 #[test]
 fn slow_spells_are_waited_out() {
     let pattern = Pattern {
+        entries: 1,
         targets: 10,
         per_s: 80.0,
         burst: 1.7,
@@ -281,6 +295,7 @@
 #[test]
 fn spells_that_are_seen_seldom_do_not_pass_for_a_lasting_slowness() {
     let pattern = Pattern {
+        entries: 1,
         targets: 10,
         per_s: 125.0,
         burst: 1.6,
@@ -294,9 +309,30 @@
     assert!(by_spells > by_span, "{by_span:.3} and {by_spells:.3}");
 }
 
+#[test]
+fn late_requests_leave_room_for_those_that_can_be_on_time_at_other_entries() {
+    let pattern = Pattern {
+        entries: 20,
+        targets: 10,
+        per_s: 125.0,
+        burst: 1.6,
+        burst_s: 1.0..4.0,
+        slow_share: 0.25,
+        seen_share: 1.0,
+    };
+    let play = |policy| Replay::new(policy, &pattern).play(&pattern);
+    let takes_all = play(Policy::LateTakesAll);
+    let leaves_room = play(Policy::QueueAtEntry);
+    assert!(
+        leaves_room > takes_all,
+        "{takes_all:.3} and {leaves_room:.3}"
+    );
+}
+
 #[test]
 fn nothing_is_lost_on_a_quiet_day() {
     let pattern = Pattern {
+        entries: 1,
         targets: 10,
         per_s: 30.0,
         burst: 1.0,
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use lacewingmoor_bundle::{Bundle, Route, Service};
-use lacewingmoor_control::Map;
 use lacewingmoor_control::admit::{Flow, Rank, Waiting, search_for};
 use lacewingmoor_control::facts::TargetId;
+use lacewingmoor_control::{Map, Now};
 use tokio::sync::oneshot;
 
 use crate::node::Node;
@@ -32,8 +32,10 @@
         &self.bundle.routes[self.route]
     }
 
-    fn accepts(&self, placed: &Placed) -> bool {
-        !self.tried.contains(&placed.target.id) && self.route().allows(&placed.target.region)
+    fn accepts(&self, now: Now, placed: &Placed) -> bool {
+        !self.tried.contains(&placed.target.id)
+            && self.route().allows(&placed.target.region)
+            && self.waiting.may_take(now, &placed.offer)
     }
 }
 
@@ -75,7 +77,7 @@
                 let now = node.now();
                 let expected = placed.offer.expected;
                 let first = (0..line.entries.len())
-                    .filter(|i| line.entries[*i].accepts(&placed))
+                    .filter(|i| line.entries[*i].accepts(now, &placed))
                     .min_by_key(|i| line.entries[*i].waiting.rank(now, expected));
                 match first {
                     Some(i) => {
