Let requests that targets reject while nobody waits come back at once

Nobody waits in that time: another target would serve the request at once.

Ruled out: more repeats (the budget is the operators'), other targets first (all reject alike).

The time to come back after a rejection is now 50 ms while no request waits for the service here, and as before while some do. control/tests/replay.rs plays it.

--- a/control/src/admit.rs
+++ b/control/src/admit.rs
@@ -18,6 +18,10 @@
 /// up to a third.
 const RETRY_AFTER_SHARE: f64 = 0.2;
 
+/// Time after which a request that targets rejected may come back if there is room elsewhere: a
+/// few round trips.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Requests that must be ahead before the pace of the line counts.
 const AHEAD_MIN: usize = 3;
 
@@ -115,6 +119,19 @@
         }
     }
 
+    /// Returns when a caller may come back whose request targets have rejected, while `waiting`
+    /// others wait here for the same service.
+    ///
+    /// Load pattern: targets reject a part of what they could serve, more than repeats inside the
+    /// budget make up for. Nobody waits then, so another target can serve the request at once; a
+    /// caller that waits as in a burst would be late.
+    pub fn retry_after_rejection(&self, now: Now, deadline: Now, waiting: usize) -> Duration {
+        match waiting {
+            0 => REJECTED_RETRY_AFTER,
+            _ => self.retry_after(now, deadline),
+        }
+    }
+
     /// Returns the rank of the request for a target that frees up; the least goes first.
     ///
     /// Requests that can still be on time come first, the most urgent kind of them first, then the
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -415,3 +415,37 @@
     assert_eq!(counts, [2, 2, 10, 2]);
     assert_eq!(search_for(&[], 3), None);
 }
+
+#[test]
+fn callers_whose_request_was_rejected_come_back_in_time_unless_others_wait() {
+    let deadline = ms(3000);
+    let waiting = Waiting {
+        due: OBJECTIVE,
+        latest: deadline,
+        priority: 1,
+        heavy: false,
+    };
+    // Targets reject 40% of the requests; callers come back twice.
+    let play = |retry_after: &dyn Fn(Duration) -> Duration| {
+        let mut rng = StdRng::seed_from_u64(7);
+        let mut on_time = 0;
+        for _ in 0..1000 {
+            let mut at = ms(0);
+            for _ in 0..3 {
+                if rng.random::<f64>() >= 0.4 {
+                    on_time += u32::from(at + WORK <= waiting.due);
+                    break;
+                }
+                at += retry_after(at);
+            }
+        }
+        on_time
+    };
+    let as_in_a_burst = play(&|at| waiting.retry_after(at, deadline));
+    let soon = play(&|at| waiting.retry_after_rejection(at, deadline, 0));
+    assert!(soon > as_in_a_burst, "{as_in_a_burst} and {soon}");
+    assert_eq!(
+        waiting.retry_after_rejection(ms(0), deadline, 5),
+        waiting.retry_after(ms(0), deadline)
+    );
+}
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -262,7 +262,11 @@
                 }
                 Next::Retry | Next::Unknown | Next::RefuseNotRun => {
                     let now = self.node.now();
-                    let retry_after = seeking.waiting.retry_after(now, outgoing.deadline);
+                    let waiting = self.node.queue.len(outgoing.service);
+                    let retry_after =
+                        seeking
+                            .waiting
+                            .retry_after_rejection(now, outgoing.deadline, waiting);
                     return Err(Own::not_run("rejected by targets", retry_after));
                 }
                 Next::PassOn => {
