--- a/control/src/admit.rs
+++ b/control/src/admit.rs
@@ -18,6 +18,10 @@
 /// up to a third.
 const RETRY_AFTER_SHARE: f64 = 0.2;
 
+/// Time after which a request that targets rejected may come back if there is room elsewhere: a
+/// few round trips.
+const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(50);
+
 /// Requests that must be ahead before the pace of the line counts.
 const AHEAD_MIN: usize = 3;
 
@@ -55,9 +59,9 @@
         let last_round = rounds > 1;
         match best {
             Some(best) if best.free => Step::Send,
-            Some(best) if best.has_room && (last_round || self.heavy) => {
+            Some(best) if self.may_take(now, best) && (last_round || self.heavy) => {
                 let in_time = now + best.expected <= self.due;
-                // Late anyway, so any target with room will do.
+                // Late anyway, so any target that it may take will do.
                 let late = now >= self.due;
                 if in_time || late || last_round {
                     Step::Send
@@ -103,6 +107,31 @@
         deadline.saturating_sub(now).mul_f64(RETRY_AFTER_SHARE)
     }
 
+    /// Returns true if the request may go to the target that made the offer.
+    ///
+    /// Load pattern: a burst leaves a line of late requests in every entry, and each entry knows
+    /// only its own. If late requests took the last slots, requests at other entries that could
+    /// still be on time would be late in turn, long after the burst.
+    pub fn may_take(&self, now: Now, offer: &Offer) -> bool {
+        match self.rank(now, offer.expected) {
+            Rank::OnTime(..) => offer.has_room,
+            Rank::Late(_) => offer.has_spare_room,
+        }
+    }
+
+    /// Returns when a caller may come back whose request targets have rejected, while `waiting`
+    /// others wait here for the same service.
+    ///
+    /// Load pattern: targets reject a part of what they could serve, more than repeats inside the
+    /// budget make up for. Nobody waits then, so another target can serve the request at once; a
+    /// caller that waits as in a burst would be late.
+    pub fn retry_after_rejection(&self, now: Now, deadline: Now, waiting: usize) -> Duration {
+        match waiting {
+            0 => REJECTED_RETRY_AFTER,
+            _ => self.retry_after(now, deadline),
+        }
+    }
+
     /// Returns the rank of the request for a target that frees up; the least goes first.
     ///
     /// Requests that can still be on time come first, the most urgent kind of them first, then the
