Keep the questions of all requests within what operators allow

Cause: design.md promises that targets are not asked more often than the settings allow, but only the search for waiting requests took its questions out of a budget. Each new request asked three targets, whatever the rate: a service of short requests is asked hundreds of times a second (2,000 requests of 1 ms at one entry: 4,107 questions, 2,160 allowed). The users' sites ask 6 to 33 times a second of the 60 allowed and do not show it.

Questions of requests and of the search now come out of one budget of 0.9 of the allowed rate. A request gets what is left; without any it goes to the best target by the last report, which answers bring as well, not only questions. The search leaves three questions to new requests.

entry/tests/requests.rs fails before with the figures above.

--- a/control/src/book.rs
+++ b/control/src/book.rs
@@ -88,6 +88,14 @@
         self.slow_spells.0 >= SLOW_SPELLS_MAX
     }
 
+    /// Returns the last load report with the requests that this entry has sent since, if it is not
+    /// older than `age_max`.
+    pub fn recent_load(&self, now: Now, age_max: Duration) -> Option<Load> {
+        let (load, at) = self.load?;
+        let running = load.running + self.sends_since(at);
+        (at + age_max >= now).then_some(Load { running, ..load })
+    }
+
     /// Returns what is known of the target besides its load.
     pub fn record(&self, now: Now) -> Record {
         Record {
--- a/control/src/budget.rs
+++ b/control/src/budget.rs
@@ -130,10 +130,12 @@
     }
 }
 
-/// Limits how often targets of a service are asked while requests wait.
+/// Limits how often targets of a service are asked.
 ///
-/// Load pattern: every target is full for seconds. Each waiting request would ask on, and the
-/// questions of all entries together would exceed what the operators allow a target.
+/// Load patterns: every target is full for seconds, and each waiting request would ask on; or
+/// requests are so short that three questions for each would be more than operators allow a target.
+/// Requests that come in get what there is, and go on without a question if there is nothing; the
+/// search on behalf of waiting ones leaves them a reserve.
 #[derive(Clone, Debug, Default)]
 pub struct ProbeBudget {
     level: f64,
@@ -141,20 +143,34 @@
 }
 
 impl ProbeBudget {
-    /// Takes `count` questions at `rate_per_s` a second; up to `BURST_S` seconds' worth may be
-    /// saved up.
+    /// Takes up to `count` questions for a request, at `rate_per_s` a second. Returns how many.
+    pub fn take_up_to(&mut self, now: Now, rate_per_s: f64, count: usize) -> usize {
+        self.fill(now, rate_per_s);
+        let taken = count.min(self.level as usize);
+        self.level -= taken as f64;
+        taken
+    }
+
+    /// Takes `count` questions for the search, at `rate_per_s` a second, if that leaves the reserve.
     pub fn take(&mut self, now: Now, rate_per_s: f64, count: usize) -> bool {
+        self.fill(now, rate_per_s);
+        let has_enough = self.level >= PROBE_RESERVE + count as f64;
+        if has_enough {
+            self.level -= count as f64;
+        }
+        has_enough
+    }
+
+    fn fill(&mut self, now: Now, rate_per_s: f64) {
         let elapsed = now.saturating_sub(self.filled_at).as_secs_f64();
         let most = rate_per_s * PROBE_BURST_S;
         self.level = (self.level + elapsed * rate_per_s).min(most);
         self.filled_at = now;
-        if self.level < count as f64 {
-            return false;
-        }
-        self.level -= count as f64;
-        true
     }
 }
 
 /// Seconds of the allowed rate of questions that may be saved up.
 const PROBE_BURST_S: f64 = 5.0;
+
+/// Questions that the search leaves to new requests: those of one request.
+const PROBE_RESERVE: f64 = 3.0;
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -27,8 +27,12 @@
 /// Time to open a connection to a target that is not asked first.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 
-/// Part of the questions that operators allow a target which searches for waiting requests use.
-const PROBE_SHARE: f64 = 0.6;
+/// Part of the questions that operators allow a target which entries use. The rest covers entries
+/// that are not registered yet.
+const PROBE_SHARE: f64 = 0.9;
+
+/// Age up to which a load report stands for a question that the budget does not allow.
+const REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 
 /// A target that the request is sent to next.
 pub struct Placed {
@@ -153,10 +157,17 @@
         route,
         tried: &tried,
     };
-    if !round.take_probes(count) {
+    let rate = round.probe_rate();
+    let allowed = node
+        .services
+        .borrow_mut()
+        .get_mut(&service.name)
+        .is_some_and(|state| state.probes.take(node.now(), rate, count));
+    if !allowed {
         return;
     }
-    if let Some(placed) = round.ask(Reach::Anywhere, count, None).await {
+    let targets = round.pick(Reach::Anywhere, count);
+    if let Some(placed) = round.ask_all(targets, None).await {
         queue::offer(node, &service.name, placed);
     }
 }
@@ -178,28 +189,43 @@
         state.map_or(self.route.objective, |s| s.work.get())
     }
 
-    /// Takes questions out of this entry's part of what a target may be asked.
-    fn take_probes(&self, count: usize) -> bool {
-        let now = self.node.now();
-        let rate = {
-            let view = self.node.view.borrow();
-            let targets = view.service(&self.service.name).len();
-            let allowed = self.node.tuning().probes_per_s * PROBE_SHARE;
-            allowed * targets as f64 / view.node_count() as f64
-        };
+    /// Returns this entry's part of the questions that the targets may be asked a second.
+    fn probe_rate(&self) -> f64 {
+        let view = self.node.view.borrow();
+        let targets = view.service(&self.service.name).len();
+        let allowed = self.node.tuning().probes_per_s * PROBE_SHARE;
+        allowed * targets as f64 / view.node_count() as f64
+    }
+
+    /// Takes up to `count` questions out of the budget.
+    fn take_probes(&self, count: usize) -> usize {
+        let rate = self.probe_rate();
         let mut services = self.node.services.borrow_mut();
         let state = services.get_mut(&self.service.name);
-        state.is_some_and(|state| state.probes.take(now, rate, count))
+        state.map_or(0, |s| s.probes.take_up_to(self.node.now(), rate, count))
     }
 
     /// Asks a few targets and returns the best offer of these and `best`.
-    async fn ask(&self, reach: Reach, count: usize, mut best: Option<Placed>) -> Option<Placed> {
-        let targets = self.pick(reach, count);
+    async fn ask(&self, reach: Reach, count: usize, best: Option<Placed>) -> Option<Placed> {
+        let mut targets = self.pick(reach, count);
         if targets.is_empty() {
             return best;
         }
-        if !self.reports_load() {
-            return self.least_used(targets).await.or(best);
+        let allowed = match self.reports_load() {
+            true => self.take_probes(targets.len()),
+            false => 0,
+        };
+        if allowed == 0 {
+            return self.choose_unasked(targets).await.or(best);
+        }
+        targets.truncate(allowed);
+        self.ask_all(targets, best).await
+    }
+
+    /// Asks targets and returns the best offer of these and `best`.
+    async fn ask_all(&self, targets: Vec<Rc<Target>>, mut best: Option<Placed>) -> Option<Placed> {
+        if targets.is_empty() {
+            return best;
         }
         let mut left = targets.len();
         let here = &self.node.here.region;
@@ -282,29 +308,32 @@
         }
     }
 
-    /// Takes the target with the fewest requests of this entry, for services that do not report
-    /// their load.
-    async fn least_used(&self, targets: Vec<Rc<Target>>) -> Option<Placed> {
+    /// Takes the best target by what is known without a question: its last report, or the requests
+    /// of this entry there. For services that do not report their load, and for requests that are
+    /// more than the questions allowed.
+    async fn choose_unasked(&self, targets: Vec<Rc<Target>>) -> Option<Placed> {
         let node = self.node;
         let now = node.now();
-        let (target, in_flight) = targets
-            .into_iter()
-            .map(|t| {
-                let in_flight = node.with_book(&t.id, |book| book.in_flight);
-                (t, in_flight)
+        let work = self.work();
+        let rated = targets.into_iter().map(|target| {
+            node.with_book(&target.id, |book| {
+                let load = match book.recent_load(now, REPORT_AGE_MAX) {
+                    Some(load) => load,
+                    None => own_load(&target, book.in_flight),
+                };
+                let offer = offer(load, Duration::ZERO, work, book.record(now));
+                (target.clone(), offer, book.in_flight)
             })
-            .min_by_key(|(_, in_flight)| *in_flight)?;
+        });
+        let best = rated.min_by_key(|(_, offer, in_flight)| (offer.expected, *in_flight));
+        let (target, offer, _) = best?;
         match node.pool.get(target.addr, CONNECT_TIMEOUT).await {
-            Ok(connection) => {
-                let record = node.with_book(&target.id, |book| book.record(now));
-                let load = own_load(&target, in_flight);
-                Some(Placed {
-                    offer: offer(load, Duration::ZERO, self.work(), record),
-                    target,
-                    asked_at: now,
-                    connection,
-                })
-            }
+            Ok(connection) => Some(Placed {
+                offer,
+                target,
+                asked_at: now,
+                connection,
+            }),
             Err(error) => {
                 slog::debug!(node.log, "connect_failed"; "target" => &*target.id, "cause" => %error);
                 node.with_book(&target.id, |book| book.failed(node.now()));
@@ -352,24 +381,27 @@
     connection: Connection,
 ) {
     let now = node.now();
-    let load = match load {
-        // The report on an answer still counts the request that it answers.
-        Some(load) if !node.queue.is_empty(service) => Load {
-            running: load.running.saturating_sub(1),
-            ..load
-        },
-        _ => return node.pool.put(connection),
+    let Some(load) = load else {
+        return node.pool.put(connection);
+    };
+    // The report on an answer still counts the request that it answers.
+    let load = Load {
+        running: load.running.saturating_sub(1),
+        ..load
     };
+    let record = node.with_book(&target.id, |book| {
+        book.reported(now, load);
+        book.record(now)
+    });
+    if node.queue.is_empty(service) {
+        return node.pool.put(connection);
+    }
     let work = {
         let services = node.services.borrow();
         services
             .get(service)
             .map_or(Duration::ZERO, |s| s.work.get())
     };
-    let record = node.with_book(&target.id, |book| {
-        book.reported(now, load);
-        book.record(now)
-    });
     let placed = Placed {
         offer: offer(load, Duration::ZERO, work, record),
         target,
--- a/entry/tests/requests.rs
+++ b/entry/tests/requests.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use common::{answer, fleet, lanes, read, runs, until, write};
@@ -342,3 +342,28 @@
         "the service reports its load, so it is asked"
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn short_requests_are_served_within_the_questions_that_targets_may_be_asked() {
+    let plan = ServicePlan {
+        work: Duration::from_millis(1),
+        ..lanes()
+    };
+    let fleet = fleet(&plan, 1).await;
+    let started = Instant::now();
+    let calls = |caller: usize| {
+        let fleet = &fleet;
+        async move {
+            for i in 0..500 {
+                let got = answer(&fleet.entries[0], &read(&format!("r-{caller}-{i}"))).await;
+                assert_eq!(got.status, StatusCode::OK);
+            }
+        }
+    };
+    tokio::join!(calls(0), calls(1), calls(2), calls(3));
+    // What the settings allow, with five seconds saved up.
+    let seconds = started.elapsed().as_secs() + 6;
+    let asked: u64 = fleet.targets.iter().map(|t| t.standin.probes()).sum();
+    let allowed = 60 * seconds * fleet.targets.len() as u64;
+    assert!(asked <= allowed, "{asked} questions, {allowed} allowed");
+}
