Catch signals from the first moment of a process; soak checks homes and questions

The soak had killed it, started it again and sent a hangup in the same moment. The handlers were set up after the settings, listeners and tasks, and a hangup without a handler ends a process.

Handlers are now set up before anything else is read. entry/tests/recovery.rs holds a process in its start with a pipe as its settings file and sends a hangup; it fails before (the process ends). The soak starts every ended process again, reports those that ended by themselves as broken, sends hangups only to processes that catch them, and checks that requests bound to a region stay there and that targets are not asked more often than allowed.

--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -8,7 +8,7 @@
 use lacewingmoor_control::stop::Phase;
 use slog::{info, warn};
 use tokio::net::TcpListener;
-use tokio::signal::unix::{SignalKind, signal};
+use tokio::signal::unix::{Signal, SignalKind, signal};
 use tokio::task::LocalSet;
 
 use crate::error::Error;
@@ -31,12 +31,35 @@
 ///
 /// Returns why the process could not start.
 pub fn run(settings_path: PathBuf) -> Result<(), Error> {
-    let settings = Settings::load(&settings_path)?;
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|e| Error::Start("runtime", e))?;
-    LocalSet::new().block_on(&runtime, serve(settings, settings_path))
+    // Before anything else: a signal without a handler ends the process.
+    let signals = {
+        let _context = runtime.enter();
+        Signals::new()?
+    };
+    let settings = Settings::load(&settings_path)?;
+    LocalSet::new().block_on(&runtime, serve(settings, settings_path, signals))
+}
+
+/// Signals that the process handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    fn new() -> Result<Self, Error> {
+        let handler = |kind| signal(kind).map_err(|e| Error::Start("signal handler", e));
+        Ok(Self {
+            terminate: handler(SignalKind::terminate())?,
+            interrupt: handler(SignalKind::interrupt())?,
+            hangup: handler(SignalKind::hangup())?,
+        })
+    }
 }
 
 async fn listen(what: &'static str, addr: SocketAddr) -> Result<TcpListener, Error> {
@@ -45,7 +68,7 @@
         .map_err(|e| Error::Listen(what, addr, e))
 }
 
-async fn serve(settings: Settings, settings_path: PathBuf) -> Result<(), Error> {
+async fn serve(settings: Settings, settings_path: PathBuf, signals: Signals) -> Result<(), Error> {
     let handle = metrics::install();
     let log = log::logger(
         settings.log_level,
@@ -76,7 +99,7 @@
             handle.run_upkeep();
         }
     });
-    wait_for_stop(&node, &settings_path).await?;
+    wait_for_stop(&node, &settings_path, signals).await;
     node.begin_stop();
     info!(node.log, "stopping"; "in_flight" => node.in_flight.get());
     finish(&node).await;
@@ -92,17 +115,13 @@
 
 /// Waits for the signal to stop. Meanwhile reloads the settings on a hangup, and when the file has
 /// changed without one.
-async fn wait_for_stop(node: &Rc<Node>, settings_path: &Path) -> Result<(), Error> {
-    let handler = |kind| signal(kind).map_err(|e| Error::Start("signal handler", e));
-    let mut terminate = handler(SignalKind::terminate())?;
-    let mut interrupt = handler(SignalKind::interrupt())?;
-    let mut hangup = handler(SignalKind::hangup())?;
+async fn wait_for_stop(node: &Rc<Node>, settings_path: &Path, mut signals: Signals) {
     let mut modified = modified_at(settings_path);
     loop {
         tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {
+            _ = signals.terminate.recv() => return,
+            _ = signals.interrupt.recv() => return,
+            _ = signals.hangup.recv() => {
                 modified = modified_at(settings_path);
                 reload(node, settings_path);
             }
--- a/entry/tests/recovery.rs
+++ b/entry/tests/recovery.rs
@@ -3,6 +3,10 @@
 
 mod common;
 
+use std::ffi::CString;
+use std::fs::File;
+use std::io::Write as _;
+use std::os::unix::ffi::OsStrExt as _;
 use std::time::Duration;
 
 use common::{PATIENCE, answer, fleet, lanes, read, until};
@@ -308,6 +312,34 @@
     assert!(fleet.entries[0].wait(PATIENCE));
 }
 
+/// Soak seed 5: a reload that was asked for right after a start ended the process.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reload_during_the_start_does_not_end_the_process() {
+    let mut fleet = fleet(&lanes(), 1).await;
+    let entry = &mut fleet.entries[0];
+    entry.signal(libc::SIGKILL);
+    entry.wait(PATIENCE);
+    // The start waits until the settings are written into the pipe.
+    let settings = std::fs::read(&entry.settings).expect("the settings are there");
+    std::fs::remove_file(&entry.settings).expect("the file can be replaced");
+    let path = CString::new(entry.settings.as_os_str().as_bytes()).expect("a path has no zero");
+    // SAFETY: the path is a valid C string for the time of the call.
+    assert_eq!(unsafe { libc::mkfifo(path.as_ptr(), 0o600) }, 0);
+    entry.restart().expect("the entry starts");
+    let mut pipe = File::options().write(true).open(&entry.settings);
+    entry.signal(libc::SIGHUP);
+    // The reload finds a file again.
+    std::fs::remove_file(&entry.settings).expect("the pipe can be replaced");
+    std::fs::write(&entry.settings, &settings).expect("the file can be written");
+    let written = pipe.as_mut().map(|pipe| pipe.write_all(&settings));
+    written.expect("the entry reads").expect("it reads all");
+    drop(pipe);
+    fleet
+        .wait_ready(PATIENCE)
+        .await
+        .expect("the entry is ready");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn reload_while_changes_arrive_does_not_end_the_process() {
     let fleet = fleet(&lanes(), 1).await;
--- a/standin/examples/soak.rs
+++ b/standin/examples/soak.rs
@@ -26,6 +26,15 @@
 /// Entries of a run.
 const ENTRIES: usize = 6;
 
+/// Region to which requests that run once are bound in the example bundle.
+const HOME: &str = "north";
+
+/// Questions a second that the settings allow a target.
+const PROBES_PER_S: u64 = 60;
+
+/// Seconds of questions that entries may have saved up, in each of their processes.
+const SAVED_UP_S: u64 = 10;
+
 /// Log lines shown of an entry that did not recover.
 const LINES_SHOWN: usize = 25;
 
@@ -98,8 +107,8 @@
             tokio::spawn(async move { keep_calling(seed, i, addr, record).await })
         })
         .collect();
-    let ends = Instant::now() + length;
-    while Instant::now() < ends {
+    let started = Instant::now();
+    while started.elapsed() < length {
         world.fault();
         let pause = world.rng.random_range(50..600);
         tokio::time::sleep(Duration::from_millis(pause)).await;
@@ -112,10 +121,14 @@
     }
     let panicked = world.panicked();
     check(&lock(&record), &world.fleet)?;
+    check_targets(&lock(&record), &world.fleet, started.elapsed())?;
     if let Some(log) = panicked {
         return Err(log);
     }
     recovered?;
+    if !world.ended.is_empty() {
+        return Err(format!("entries {:?} ended by themselves", world.ended));
+    }
     let count = lock(&record).len();
     Ok(format!("{count} requests, {} faults", world.faults))
 }
@@ -156,6 +169,32 @@
     Ok(())
 }
 
+/// Checks that requests stayed in their home regions and that targets were not asked too often.
+fn check_targets(
+    record: &HashMap<String, Seen>,
+    fleet: &Fleet,
+    length: Duration,
+) -> Result<(), String> {
+    for target in &fleet.targets {
+        let id = &target.registration.id;
+        let is_bound = |id: &String| record.get(id).is_some_and(|seen| seen.once);
+        let runs = target.standin.runs();
+        let bound = runs.iter().find(|run| is_bound(&run.request_id));
+        if let Some(run) = bound.filter(|_| &*target.registration.region != HOME) {
+            return Err(format!("{} left its home region to {id}", run.request_id));
+        }
+    }
+    let asked: u64 = fleet.targets.iter().map(|t| t.standin.probes()).sum();
+    let seconds = length.as_secs() + SAVED_UP_S;
+    let allowed = PROBES_PER_S * seconds * fleet.targets.len() as u64;
+    if asked > allowed {
+        return Err(format!(
+            "targets were asked {asked} times, {allowed} allowed"
+        ));
+    }
+    Ok(())
+}
+
 async fn keep_calling(seed: u64, caller: usize, addr: std::net::SocketAddr, record: Record) {
     for i in 0.. {
         let once = i % 3 == 0;
@@ -195,8 +234,10 @@
     rng: StdRng,
     version: u64,
     plan: ServicePlan,
-    /// Entries that have ended or were killed.
+    /// Entries that were told to end or killed.
     down: Vec<usize>,
+    /// Entries that ended by themselves.
+    ended: Vec<usize>,
     faults: u64,
 }
 
@@ -218,6 +259,7 @@
             version: 1,
             plan,
             down: Vec::new(),
+            ended: Vec::new(),
             faults: 0,
         })
     }
@@ -233,10 +275,12 @@
             4 => self.relays.iter().for_each(|relay| relay.set(Harm::None)),
             5 => self.signal(entry, libc::SIGKILL),
             6 => self.signal(entry, libc::SIGTERM),
-            7 => self.fleet.entries[entry].signal(match self.rng.random_bool(0.5) {
-                true => libc::SIGSTOP,
-                false => libc::SIGHUP,
-            }),
+            7 if self.rng.random_bool(0.5) => self.fleet.entries[entry].signal(libc::SIGSTOP),
+            // Before its first instruction a process can do nothing against the signal.
+            7 if self.fleet.entries[entry].catches(libc::SIGHUP) => {
+                self.fleet.entries[entry].signal(libc::SIGHUP);
+            }
+            7 => {}
             8 => self.harm_target(),
             9 => self.harm_store(),
             10 => {
@@ -295,6 +339,12 @@
 
     /// Starts entries again that have ended, and wakes those that stand still.
     fn revive(&mut self) {
+        for entry in 0..ENTRIES {
+            if !self.down.contains(&entry) && self.fleet.entries[entry].has_ended() {
+                self.ended.push(entry);
+                self.down.push(entry);
+            }
+        }
         let down = std::mem::take(&mut self.down);
         for entry in down {
             let process = &mut self.fleet.entries[entry];
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -118,6 +118,15 @@
         unsafe { libc::kill(pid, signal) };
     }
 
+    /// Returns true if the process has a handler for the signal.
+    pub fn catches(&self, signal: i32) -> bool {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.unwrap_or_default();
+        let caught = status.lines().find_map(|line| line.strip_prefix("SigCgt:"));
+        let mask = caught.and_then(|mask| u64::from_str_radix(mask.trim(), 16).ok());
+        mask.is_some_and(|mask| mask & (1 << (signal - 1)) != 0)
+    }
+
     /// Waits until the process has ended; true if it ended well within `timeout`.
     pub fn wait(&mut self, timeout: Duration) -> bool {
         let ends = Instant::now() + timeout;
