--- a/control/src/admit.rs
+++ b/control/src/admit.rs
@@ -58,6 +58,7 @@
     pub fn step(&self, now: Now, rounds: u32, best: Option<&Offer>) -> Step {
         let last_round = rounds > 1;
         match best {
+            // A request that comes in finds a free target at once; the reserve is for waiting ones.
             Some(best) if best.free => Step::Send,
             Some(best) if self.may_take(now, best) && (last_round || self.heavy) => {
                 let in_time = now + best.expected <= self.due;
@@ -119,14 +120,14 @@
         }
     }
 
-    /// Returns when a caller may come back whose request targets have rejected, while `waiting`
-    /// others wait here for the same service.
+    /// Returns when a caller may come back whose request targets have rejected, while `others`
+    /// wait here for the same service.
     ///
     /// Load pattern: targets reject a part of what they could serve, more than repeats inside the
     /// budget make up for. Nobody waits then, so another target can serve the request at once; a
     /// caller that waits as in a burst would be late.
-    pub fn retry_after_rejection(&self, now: Now, deadline: Now, waiting: usize) -> Duration {
-        match waiting {
+    pub fn retry_after_rejection(&self, now: Now, deadline: Now, others: usize) -> Duration {
+        match others {
             0 => REJECTED_RETRY_AFTER,
             _ => self.retry_after(now, deadline),
         }
--- a/control/src/book.rs
+++ b/control/src/book.rs
@@ -59,8 +59,10 @@
     pub cold_gate: ColdGate,
     /// Sends of this entry in the last second, oldest first.
     sends: VecDeque<Now>,
-    /// Spells in a row in which it was slow, and when the last one was noticed.
-    slow_spells: (u32, Now),
+    /// Spells in a row in which it was slow.
+    slow_spells: u32,
+    /// When the last of them was noticed.
+    slow_spell_at: Now,
     failures: u32,
     avoid_until: Now,
     error_rate: f64,
@@ -71,11 +73,11 @@
     /// Notes a load report.
     pub fn reported(&mut self, now: Now, load: Load) {
         self.load = Some((load, now));
-        let (spells, noticed_at) = self.slow_spells;
         if load.pace < PACE_SLOW {
-            self.slow_spells = (0, now);
-        } else if spells == 0 || now >= noticed_at + SLOW_SPELL {
-            self.slow_spells = (spells + 1, now);
+            self.slow_spells = 0;
+        } else if self.slow_spells == 0 || now >= self.slow_spell_at + SLOW_SPELL {
+            self.slow_spells += 1;
+            self.slow_spell_at = now;
         }
     }
 
@@ -85,7 +87,7 @@
     /// two spells look like one long spell, and requests that start in a spell are slow as a whole:
     /// they hold their slots for several times as long, and the fleet does not get out of a burst.
     pub fn is_slow_for_good(&self) -> bool {
-        self.slow_spells.0 >= SLOW_SPELLS_MAX
+        self.slow_spells >= SLOW_SPELLS_MAX
     }
 
     /// Returns the last load report with the requests that this entry has sent since, if it is not
--- a/control/src/budget.rs
+++ b/control/src/budget.rs
@@ -144,7 +144,7 @@
 
 impl ProbeBudget {
     /// Takes up to `count` questions for a request, at `rate_per_s` a second. Returns how many.
-    pub fn take_up_to(&mut self, now: Now, rate_per_s: f64, count: usize) -> usize {
+    pub fn take_for_request(&mut self, now: Now, rate_per_s: f64, count: usize) -> usize {
         self.fill(now, rate_per_s);
         let taken = count.min(self.level as usize);
         self.level -= taken as f64;
@@ -152,7 +152,7 @@
     }
 
     /// Takes `count` questions for the search, at `rate_per_s` a second, if that leaves the reserve.
-    pub fn take(&mut self, now: Now, rate_per_s: f64, count: usize) -> bool {
+    pub fn take_for_search(&mut self, now: Now, rate_per_s: f64, count: usize) -> bool {
         self.fill(now, rate_per_s);
         let has_enough = self.level >= PROBE_RESERVE + count as f64;
         if has_enough {
--- a/control/tests/limits.rs
+++ b/control/tests/limits.rs
@@ -77,13 +77,13 @@
 #[test]
 fn questions_are_saved_up_for_seconds_only() {
     let mut probes = ProbeBudget::default();
-    assert_eq!(probes.take_up_to(ms(0), 10.0, 1), 0);
+    assert_eq!(probes.take_for_request(ms(0), 10.0, 1), 0);
     let burst: usize = (0..1000)
-        .map(|_| probes.take_up_to(ms(60_000), 10.0, 1))
+        .map(|_| probes.take_for_request(ms(60_000), 10.0, 1))
         .sum();
     assert_eq!(burst, 50);
     let later: usize = (0..1000)
-        .map(|i| probes.take_up_to(ms(60_000 + i), 10.0, 1))
+        .map(|i| probes.take_for_request(ms(60_000 + i), 10.0, 1))
         .sum();
     assert!((9..=10).contains(&later), "{later} in a second");
 }
@@ -92,12 +92,16 @@
 fn search_leaves_questions_to_new_requests() {
     let mut probes = ProbeBudget::default();
     let searched = (0..1000)
-        .filter(|_| probes.take(ms(60_000), 10.0, 2))
+        .filter(|_| probes.take_for_search(ms(60_000), 10.0, 2))
         .count();
     assert_eq!(searched, 23, "46 of the 50 that are saved up");
-    assert_eq!(probes.take_up_to(ms(60_000), 10.0, 3), 3);
-    assert_eq!(probes.take_up_to(ms(60_000), 10.0, 3), 1, "what is left");
-    assert_eq!(probes.take_up_to(ms(60_000), 10.0, 3), 0);
+    assert_eq!(probes.take_for_request(ms(60_000), 10.0, 3), 3);
+    assert_eq!(
+        probes.take_for_request(ms(60_000), 10.0, 3),
+        1,
+        "what is left"
+    );
+    assert_eq!(probes.take_for_request(ms(60_000), 10.0, 3), 0);
 }
 
 fn destinations(weights: &[u32]) -> Vec<Destination> {
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -157,13 +157,7 @@
         route,
         tried: &tried,
     };
-    let rate = round.probe_rate();
-    let allowed = node
-        .services
-        .borrow_mut()
-        .get_mut(&service.name)
-        .is_some_and(|state| state.probes.take(node.now(), rate, count));
-    if !allowed {
+    if !round.may_search(count) {
         return;
     }
     let targets = round.pick(Reach::Anywhere, count);
@@ -197,12 +191,22 @@
         allowed * targets as f64 / view.node_count() as f64
     }
 
+    /// Takes `count` questions for the search out of the budget.
+    fn may_search(&self, count: usize) -> bool {
+        let rate = self.probe_rate();
+        let mut services = self.node.services.borrow_mut();
+        let state = services.get_mut(&self.service.name);
+        state.is_some_and(|s| s.probes.take_for_search(self.node.now(), rate, count))
+    }
+
     /// Takes up to `count` questions out of the budget.
     fn take_probes(&self, count: usize) -> usize {
         let rate = self.probe_rate();
         let mut services = self.node.services.borrow_mut();
         let state = services.get_mut(&self.service.name);
-        state.map_or(0, |s| s.probes.take_up_to(self.node.now(), rate, count))
+        state.map_or(0, |s| {
+            s.probes.take_for_request(self.node.now(), rate, count)
+        })
     }
 
     /// Asks a few targets and returns the best offer of these and `best`.
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -262,11 +262,9 @@
                 }
                 Next::Retry | Next::Unknown | Next::RefuseNotRun => {
                     let now = self.node.now();
-                    let waiting = self.node.queue.len(outgoing.service);
-                    let retry_after =
-                        seeking
-                            .waiting
-                            .retry_after_rejection(now, outgoing.deadline, waiting);
+                    let others = self.node.queue.len(outgoing.service);
+                    let waiting = &seeking.waiting;
+                    let retry_after = waiting.retry_after_rejection(now, outgoing.deadline, others);
                     return Err(Own::not_run("rejected by targets", retry_after));
                 }
                 Next::PassOn => {
