Assume many entries until their registrations have been read

The store fell silent right after the first listing of entries that started together. Budgets of repeats and of cold targets are divided by the same count.

Ruled out: the budget itself (control/limits), questions repeated on connections that had closed (no failure counted).

--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -69,6 +69,13 @@
     Lapsed,
 }
 
+/// Entries that are assumed before their registrations have been read: those of the fleets to
+/// build towards.
+const ENTRIES_ASSUMED: usize = 128;
+
+/// The same for one zone.
+const ENTRIES_IN_ZONE_ASSUMED: usize = 20;
+
 /// The view. Revisions order all changes.
 #[derive(Default)]
 pub struct View {
@@ -79,6 +86,8 @@
     removed: Map<Subject, Revision>,
     services: Map<String, Vec<TargetId>>,
     grace_until: Now,
+    /// The registrations of entries were read after this entry's own start.
+    knows_entries: bool,
 }
 
 impl View {
@@ -117,14 +126,38 @@
         self.nodes.get(name).map(|(node, _)| node)
     }
 
-    /// Returns the number of entries, this one included, at least 1.
+    /// Notes that the registrations of entries have been read after those that start together had
+    /// time to register.
+    pub fn entries_read(&mut self) {
+        self.knows_entries = true;
+    }
+
+    /// Returns true if the registrations of entries have been read.
+    pub fn has_read_entries(&self) -> bool {
+        self.knows_entries
+    }
+
+    /// Returns the number of entries that share a budget, this one included, at least 1.
+    ///
+    /// Fault: the store pauses while a fleet starts. Entries that do not know of each other would
+    /// each use the whole of a shared budget.
     pub fn node_count(&self) -> usize {
-        self.nodes.len().max(1)
+        let least = if self.knows_entries {
+            1
+        } else {
+            ENTRIES_ASSUMED
+        };
+        self.nodes.len().max(least)
     }
 
-    /// Returns the number of entries in a zone, at least 1.
+    /// Returns the number of entries that share a budget in a zone, at least 1.
     pub fn nodes_in_zone(&self, zone: &str) -> usize {
-        self.nodes().filter(|n| &*n.zone == zone).count().max(1)
+        let least = match self.knows_entries {
+            true => 1,
+            false => ENTRIES_IN_ZONE_ASSUMED,
+        };
+        let known = self.nodes().filter(|n| &*n.zone == zone).count();
+        known.max(least)
     }
 
     /// Notes that the store answers again after an outage: registrations that lapsed meanwhile
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{bundle, ms, registered, removed, target};
+use common::{bundle, ms, node, node_registered, registered, removed, target};
 use lacewingmoor_control::facts::{Change, Fact, Subject};
 use lacewingmoor_control::view::{Effect, LAPSE_GRACE, TargetChange, View};
 use rstest::rstest;
@@ -156,3 +156,25 @@
     view.apply(ms(0), change(10, Some(Fact::ZoneOut)));
     assert!(!view.is_out("north-a"), "a late repetition changes nothing");
 }
+
+/// Soak seeds 706 and 709: entries that started while the store was silent each asked targets as
+/// often as all may together.
+#[test]
+fn entries_are_assumed_to_be_many_until_their_registrations_were_read() {
+    let mut view = View::default();
+    view.apply(
+        ms(0),
+        node_registered(node("n1", "north-a", "north", 10), 1),
+    );
+    assert_eq!(
+        (view.node_count(), view.nodes_in_zone("north-a")),
+        (128, 20)
+    );
+    view.entries_read();
+    assert_eq!((view.node_count(), view.nodes_in_zone("north-a")), (1, 1));
+    view.apply(
+        ms(0),
+        node_registered(node("n2", "north-b", "north", 10), 2),
+    );
+    assert_eq!((view.node_count(), view.nodes_in_zone("north-a")), (2, 1));
+}
--- a/entry/src/feed.rs
+++ b/entry/src/feed.rs
@@ -45,6 +45,8 @@
     pub node: String,
     /// Entries through which the knowledge came to the source, that which follows the store first.
     pub path: Vec<String>,
+    /// The source, or the one that it follows, has read the registrations of entries.
+    pub has_read_entries: bool,
 }
 
 quick_error! {
--- a/entry/src/follow.rs
+++ b/entry/src/follow.rs
@@ -200,6 +200,7 @@
             ..entries
         },
     );
+    node.view.borrow_mut().entries_read();
     Ok(())
 }
 
@@ -256,6 +257,7 @@
     let request = store::watch(&client.host(), FOLLOWED_PREFIX, after, wait);
     let (status, body) = client.call("watch", request, wait).await?;
     let events = store::decode_events(status, &body)?;
+    node.view.borrow_mut().entries_read();
     let update = Update {
         revision: events.revision,
         whole: false,
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -73,6 +73,9 @@
     let mut path = status.path;
     path.push(status.node);
     node.follows_peer(path, state);
+    if status.has_read_entries {
+        node.view.borrow_mut().entries_read();
+    }
     Ok(())
 }
 
@@ -118,6 +121,7 @@
             searching_ms: node.searching().as_millis() as u64,
             node: node.settings.node.clone(),
             path: node.path.borrow().clone(),
+            has_read_entries: node.view.borrow().has_read_entries(),
         };
         write(&mut stream, &Message::Status(status)).await?;
         // Ends with the interval or with news.
--- a/entry/tests/feed.rs
+++ b/entry/tests/feed.rs
@@ -19,6 +19,7 @@
         searching_ms: 0,
         node: "fake".into(),
         path: path.iter().map(|name| (*name).to_owned()).collect(),
+        has_read_entries: true,
     })
 }
 
