Count many entries only while their registrations are overdue; keep the better of two offers

Registrations are now counted as they are for 1.5 s after the start, within which they are read while the store answers, and as 128 after that if they have not been read. control/tests/view.rs has both.

Besides: an offer from a first round was dropped with its connection when the second round had no question left; the better of the two is kept now. The test "follower gets all keys, then news" took the first update after a change for that change; the registration of the entry may come before it, so the test waits for the update that it means.

--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -69,8 +69,8 @@
     Lapsed,
 }
 
-/// Entries that are assumed before their registrations have been read: those of the fleets to
-/// build towards.
+/// Entries that are assumed while their registrations are overdue: those of the fleets to build
+/// towards.
 const ENTRIES_ASSUMED: usize = 128;
 
 /// The same for one zone.
@@ -87,7 +87,9 @@
     services: Map<String, Vec<TargetId>>,
     grace_until: Now,
     /// The registrations of entries were read after this entry's own start.
-    knows_entries: bool,
+    has_read_entries: bool,
+    /// They should have been read by now.
+    entries_overdue: bool,
 }
 
 impl View {
@@ -129,12 +131,21 @@
     /// Notes that the registrations of entries have been read after those that start together had
     /// time to register.
     pub fn entries_read(&mut self) {
-        self.knows_entries = true;
+        self.has_read_entries = true;
+    }
+
+    /// Notes that the registrations of entries should have been read by now.
+    pub fn entries_overdue(&mut self) {
+        self.entries_overdue = true;
     }
 
     /// Returns true if the registrations of entries have been read.
     pub fn has_read_entries(&self) -> bool {
-        self.knows_entries
+        self.has_read_entries
+    }
+
+    fn is_entry_count_unknown(&self) -> bool {
+        self.entries_overdue && !self.has_read_entries
     }
 
     /// Returns the number of entries that share a budget, this one included, at least 1.
@@ -142,19 +153,18 @@
     /// Fault: the store pauses while a fleet starts. Entries that do not know of each other would
     /// each use the whole of a shared budget.
     pub fn node_count(&self) -> usize {
-        let least = if self.knows_entries {
-            1
-        } else {
-            ENTRIES_ASSUMED
+        let least = match self.is_entry_count_unknown() {
+            true => ENTRIES_ASSUMED,
+            false => 1,
         };
         self.nodes.len().max(least)
     }
 
     /// Returns the number of entries that share a budget in a zone, at least 1.
     pub fn nodes_in_zone(&self, zone: &str) -> usize {
-        let least = match self.knows_entries {
-            true => 1,
-            false => ENTRIES_IN_ZONE_ASSUMED,
+        let least = match self.is_entry_count_unknown() {
+            true => ENTRIES_IN_ZONE_ASSUMED,
+            false => 1,
         };
         let known = self.nodes().filter(|n| &*n.zone == zone).count();
         known.max(least)
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -160,18 +160,21 @@
 /// Soak seeds 706 and 709: entries that started while the store was silent each asked targets as
 /// often as all may together.
 #[test]
-fn entries_are_assumed_to_be_many_until_their_registrations_were_read() {
+fn entries_are_assumed_to_be_many_while_their_registrations_are_overdue() {
     let mut view = View::default();
     view.apply(
         ms(0),
         node_registered(node("n1", "north-a", "north", 10), 1),
     );
+    assert_eq!((view.node_count(), view.nodes_in_zone("north-a")), (1, 1));
+    view.entries_overdue();
     assert_eq!(
         (view.node_count(), view.nodes_in_zone("north-a")),
         (128, 20)
     );
     view.entries_read();
     assert_eq!((view.node_count(), view.nodes_in_zone("north-a")), (1, 1));
+    view.entries_overdue();
     view.apply(
         ms(0),
         node_registered(node("n2", "north-b", "north", 10), 2),
--- a/entry/src/place.rs
+++ b/entry/src/place.rs
@@ -210,7 +210,7 @@
     }
 
     /// Asks a few targets and returns the best offer of these and `best`.
-    async fn ask(&self, reach: Reach, count: usize, best: Option<Placed>) -> Option<Placed> {
+    async fn ask(&self, reach: Reach, count: usize, mut best: Option<Placed>) -> Option<Placed> {
         let mut targets = self.pick(reach, count);
         if targets.is_empty() {
             return best;
@@ -220,7 +220,10 @@
             false => 0,
         };
         if allowed == 0 {
-            return self.choose_unasked(targets).await.or(best);
+            if let Some(placed) = self.choose_unasked(targets).await {
+                self.keep_better(&mut best, placed);
+            }
+            return best;
         }
         targets.truncate(allowed);
         self.ask_all(targets, best).await
@@ -248,21 +251,25 @@
             let Some(probed) = answer else {
                 continue;
             };
-            let placed = self.rate(probed);
-            let better = best
-                .as_ref()
-                .is_none_or(|b| placed.offer.expected < b.offer.expected);
-            let worse = match better {
-                true => best.replace(placed),
-                false => Some(placed),
-            };
-            if let Some(worse) = worse {
-                queue::offer(self.node, &self.service.name, worse);
-            }
+            self.keep_better(&mut best, self.rate(probed));
         }
         best
     }
 
+    /// Keeps the better of two offers; the other one is there for waiting requests.
+    fn keep_better(&self, best: &mut Option<Placed>, placed: Placed) {
+        let better = best
+            .as_ref()
+            .is_none_or(|b| placed.offer.expected < b.offer.expected);
+        let worse = match better {
+            true => best.replace(placed),
+            false => Some(placed),
+        };
+        if let Some(worse) = worse {
+            queue::offer(self.node, &self.service.name, worse);
+        }
+    }
+
     fn reports_load(&self) -> bool {
         let services = self.node.services.borrow();
         let state = services.get(&self.service.name);
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -22,6 +22,10 @@
 /// Interval at which the settings file is checked for changes.
 const RELOAD_CHECK: Duration = Duration::from_secs(3);
 
+/// Time after the start within which the registrations of entries are read while the store answers:
+/// the pause of a start and a few calls.
+const ENTRIES_READ_MAX: Duration = Duration::from_millis(1500);
+
 /// Interval at which idle connections and lapsed targets are cleared.
 const HOUSEKEEPING: Duration = Duration::from_millis(500);
 
@@ -185,6 +189,9 @@
     loop {
         tokio::time::sleep(HOUSEKEEPING).await;
         node.pool.prune();
+        if node.now() >= ENTRIES_READ_MAX {
+            node.view.borrow_mut().entries_overdue();
+        }
         let effects = node.view.borrow_mut().expire(node.now());
         follow::log_effects(&node, &effects);
         let view = node.view.borrow();
--- a/entry/tests/feed.rs
+++ b/entry/tests/feed.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::{fleet, lanes, until};
+use common::{PATIENCE, fleet, lanes, until};
 use lacewingmoor_control::facts::Record;
 use lacewingmoor_control::ledger::Update;
 use lacewingmoord::feed::{self, Error, Message, Status, Subscribe};
@@ -76,16 +76,18 @@
     };
     assert!(update.records.len() >= 5, "the bundle and four targets");
     fleet.store.set_zone_out("north-b", true);
-    let news = loop {
-        if let Message::Update(update) = feed::read(&mut stream).await.expect("a message") {
-            break update;
+    // The registration of the entry may come as an update of its own before.
+    let arrives = async {
+        loop {
+            if let Message::Update(update) = feed::read(&mut stream).await.expect("a message")
+                && update.records.iter().any(|r| r.key.ends_with("north-b"))
+            {
+                return;
+            }
         }
     };
-    assert!(
-        news.records
-            .iter()
-            .any(|record| record.key.ends_with("north-b"))
-    );
+    let arrived = tokio::time::timeout(PATIENCE, arrives).await;
+    arrived.expect("the change arrives");
 }
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
