Use both slots of targets with two slots

Its targets have two slots, and a request that starts with more than 0.8 of the slots in use takes 1.7 times as long. So only one slot counted as usable, and in a burst requests waited in entries until they were late while half of all slots were idle.

Change: a target's slots are all usable if it serves more requests per second with every slot in use than with its full-speed slots: 2 / 1.7 is above 1, but 4 / 1.7 is below 3 and 6 / 1.7 below 4, so targets with more slots are used as before. A full-speed slot still goes first, and late requests still leave the last usable slot.

Ruled out: a greater full-speed share, which would also fill targets with four and six slots (docs/choices/placement.md).

Measured: the replay with two slots serves more than 0.1 more of its requests on time than with full-speed slots only.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod attempt;
 pub mod budget;
 pub mod model;
+pub mod rendezvous;
 pub mod replica;
 pub mod selection;
 pub mod shutdown;
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -7,16 +7,15 @@
 //! Such a period, in which a target reports a slowdown of at least [`SLOWDOWN_THRESHOLD`], is
 //! called a slow episode.
 
-use std::hash::{Hash as _, Hasher as _};
 use std::time::Duration;
 
 use lacewingmoor_bundle::Route;
 use lacewingmoor_derive::value;
 use rand::Rng;
 use rand::seq::SliceRandom as _;
-use rustc_hash::FxHasher;
 
 use crate::model::{EntryName, RegionName, TargetId, ZoneName};
+use crate::rendezvous::rendezvous_key;
 use crate::stats::{LoadReport, TargetStats};
 use crate::view::{RegisteredTarget, View};
 use crate::{Map, Timestamp};
@@ -36,8 +35,8 @@
 /// whose view of their zone differs.
 const WARMUP_RATE_FACTOR: f64 = 1.2;
 
-/// Full-speed slots of a target that late requests must not use, so that requests that can still be
-/// on time find one. One slot is the smallest reserve that does so.
+/// Usable slots of a target that late requests must not use, so that requests that can still be on
+/// time find one. One slot is the smallest reserve that does so.
 const LATE_RESERVE_SLOTS: u32 = 1;
 
 /// Slowdown at and above which a target counts as slow.
@@ -66,16 +65,6 @@
     pub entry: EntryName,
 }
 
-impl Locality {
-    /// Returns a sort key of the target that differs from entry to entry.
-    fn subset_key(&self, id: &TargetId) -> u64 {
-        let mut hasher = FxHasher::default();
-        self.entry.hash(&mut hasher);
-        id.hash(&mut hasher);
-        hasher.finish()
-    }
-}
-
 /// Regions whose targets are probed.
 #[value]
 #[derive(Copy, Eq)]
@@ -143,7 +132,7 @@
             }
             if pool.len() > SUBSET_SIZE {
                 pool.sort_by_cached_key(|registered| {
-                    self.locality.subset_key(&registered.target.id)
+                    rendezvous_key(&self.locality.entry, &registered.target.id)
                 });
                 pool.truncate(SUBSET_SIZE);
             }
@@ -200,8 +189,8 @@
     /// True if the target can start the request at once at full speed, has a low error rate, is
     /// healthy and is not warming up.
     pub preferred: bool,
-    /// True if the target can start the request at once without slowing down the requests that it
-    /// runs, and is in no slow episode or is persistently slow.
+    /// True if the target can start the request at once in one of its usable slots (see
+    /// [`usable_slots`]), and is in no slow episode or is persistently slow.
     pub has_capacity: bool,
     /// True if `has_capacity` holds even without the slots that late requests must leave free.
     pub has_spare_capacity: bool,
@@ -228,6 +217,23 @@
     ((f64::from(slots) * FULL_SPEED_SHARE) as u32).max(1)
 }
 
+/// Returns how many requests a target with `slots` slots runs when it serves the most per second: all
+/// slots if it is faster with every slot in use than with only the full-speed slots, which are
+/// fewer.
+///
+/// Load pattern: targets with two slots, one of which is a full-speed slot, under a load above half
+/// of the slots. If the second slot stayed idle, requests would wait for a free target until they
+/// are late although they could be on time in it.
+pub fn usable_slots(slots: u32) -> u32 {
+    let full_speed = full_speed_slots(slots);
+    let serves_more_when_full = f64::from(slots) / CONTENTION_FACTOR > f64::from(full_speed);
+    if serves_more_when_full {
+        slots
+    } else {
+        full_speed
+    }
+}
+
 /// Returns true if a target that reported `load` still has capacity after `sends` requests that the
 /// report does not include, with `in_flight` requests of this entry that await their response.
 ///
@@ -235,7 +241,7 @@
 /// free slot. A report may also overtake a request that was sent before it.
 pub fn still_has_capacity(load: LoadReport, sends: u32, in_flight: u32) -> bool {
     let reported = load.running + load.queued + sends;
-    reported.max(in_flight) < full_speed_slots(load.slots)
+    reported.max(in_flight) < usable_slots(load.slots)
 }
 
 /// Estimates the latency of a target that reported `load` after `round_trip`. `service_time` is the
@@ -248,8 +254,9 @@
 ) -> Estimate {
     let full_speed = full_speed_slots(load.slots);
     let ahead = load.running + load.queued;
-    let has_free_slot = ahead < full_speed;
-    let contention = if has_free_slot {
+    let usable = usable_slots(load.slots);
+    let has_full_speed_slot = ahead < full_speed;
+    let contention = if has_full_speed_slot {
         1.0
     } else {
         CONTENTION_FACTOR
@@ -265,18 +272,18 @@
         0.0
     };
     let penalty = service_time.mul_f64(health.error_rate * FAILURE_PENALTY + unhealthy_penalty);
-    let usable = load.slowdown < SLOWDOWN_THRESHOLD || health.persistently_slow;
-    let reserve = LATE_RESERVE_SLOTS.min(full_speed - 1);
+    let at_speed = load.slowdown < SLOWDOWN_THRESHOLD || health.persistently_slow;
+    let reserve = LATE_RESERVE_SLOTS.min(usable - 1);
     Estimate {
         load,
         expected_latency: slowed + penalty + round_trip,
-        preferred: has_free_slot
+        preferred: has_full_speed_slot
             && load.slowdown < SLOWDOWN_THRESHOLD
             && health.error_rate < PREFERRED_ERROR_RATE_MAX
             && !health.warming_up
             && !health.unhealthy,
-        has_capacity: has_free_slot && usable,
-        has_spare_capacity: ahead + reserve < full_speed && usable,
+        has_capacity: ahead < usable && at_speed,
+        has_spare_capacity: ahead + reserve < usable && at_speed,
     }
 }
 
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -14,12 +14,11 @@
 use lacewingmoor_control::admission::{
     AdmissionDecision, DequeueRate, PendingRequest, Rank, select_queued,
 };
-use lacewingmoor_control::selection::{Estimate, estimate};
+use lacewingmoor_control::selection::{Estimate, estimate, full_speed_slots};
 use lacewingmoor_control::stats::{LoadReport, TargetStats};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-const SLOTS: u32 = 4;
 const SERVICE_TIME: Duration = Duration::from_millis(160);
 const OBJECTIVE: Duration = Duration::from_millis(400);
 const TIMEOUT: Duration = Duration::from_millis(1500);
@@ -37,6 +36,8 @@
     SlowReportSpan,
     /// Current policy, but late requests take the last slots too.
     LateTakesAllSlots,
+    /// Current policy, but only full-speed slots are used.
+    FullSpeedSlots,
     /// Queues at the entry, counts slow episodes, and leaves slots to requests that can be on time.
     Current,
 }
@@ -44,6 +45,8 @@
 struct Pattern {
     entries: usize,
     targets: usize,
+    /// Requests that a target can run concurrently.
+    slots: u32,
     /// Arrival rate outside the burst, at all entries together.
     requests_per_s: f64,
     /// Factor on the arrival rate during the burst.
@@ -74,6 +77,7 @@
     queues: Vec<Vec<PendingRequest>>,
     rng: StdRng,
     reports_seen_share: f64,
+    slots: u32,
     probes: u64,
     on_time: u64,
     arrived: u64,
@@ -94,6 +98,7 @@
             queues: vec![Vec::new(); pattern.entries],
             rng: StdRng::seed_from_u64(7),
             reports_seen_share: pattern.reports_seen_share,
+            slots: pattern.slots,
             probes: 0,
             on_time: 0,
             arrived: 0,
@@ -129,7 +134,7 @@
     fn finish(&mut self, now: Duration) {
         for i in 0..self.targets.len() {
             self.targets[i].running.retain(|end| *end > now);
-            while self.targets[i].running.len() < SLOTS as usize {
+            while self.targets[i].running.len() < self.slots as usize {
                 let Some(arrived) = self.targets[i].queue.pop_front() else {
                     break;
                 };
@@ -140,7 +145,7 @@
 
     fn start(&mut self, now: Duration, i: usize, arrived: Duration) {
         let target = &mut self.targets[i];
-        let share = (target.running.len() + 1) as f64 / f64::from(SLOTS);
+        let share = (target.running.len() + 1) as f64 / f64::from(self.slots);
         let mut factor = if share > 0.8 { CONTENTION_FACTOR } else { 1.0 };
         if target.slow_until > now {
             factor *= SLOWDOWN;
@@ -155,7 +160,7 @@
         LoadReport {
             running: target.running.len() as u32,
             queued: target.queue.len() as u32,
-            slots: SLOTS,
+            slots: self.slots,
             slowdown: if target.slow_until > now {
                 SLOWDOWN
             } else {
@@ -195,7 +200,11 @@
             let since = target.slow_since.unwrap_or(now);
             health.persistently_slow = now >= since + ms(1500);
         }
-        estimate(load, ms(1), SERVICE_TIME, health)
+        let mut estimate = estimate(load, ms(1), SERVICE_TIME, health);
+        if self.policy == Policy::FullSpeedSlots {
+            estimate.has_capacity &= load.running < full_speed_slots(load.slots);
+        }
+        estimate
     }
 
     /// Probes `count` targets for a request; returns true if it was sent or queued at a target.
@@ -216,7 +225,7 @@
         };
         let arrived = request.soft_deadline - OBJECTIVE;
         match self.policy {
-            Policy::QueueAtTarget if self.targets[i].running.len() < SLOTS as usize => {
+            Policy::QueueAtTarget if self.targets[i].running.len() < self.slots as usize => {
                 self.start(now, i, arrived);
                 true
             }
@@ -279,6 +288,7 @@
     let pattern = Pattern {
         entries: 1,
         targets: 10,
+        slots: 4,
         requests_per_s: 90.0,
         burst_factor: 1.8,
         burst_s: 2.0..7.0,
@@ -298,6 +308,7 @@
     let pattern = Pattern {
         entries: 1,
         targets: 10,
+        slots: 4,
         requests_per_s: 80.0,
         burst_factor: 1.7,
         burst_s: 2.0..7.0,
@@ -316,6 +327,7 @@
     let pattern = Pattern {
         entries: 1,
         targets: 10,
+        slots: 4,
         requests_per_s: 125.0,
         burst_factor: 1.6,
         burst_s: 1.0..4.0,
@@ -336,6 +348,7 @@
     let pattern = Pattern {
         entries: 20,
         targets: 10,
+        slots: 4,
         requests_per_s: 125.0,
         burst_factor: 1.6,
         burst_s: 1.0..4.0,
@@ -351,11 +364,33 @@
     );
 }
 
+#[test]
+fn second_slot_of_targets_with_two_slots_is_used_for_requests_that_are_on_time_there() {
+    let pattern = Pattern {
+        entries: 10,
+        targets: 10,
+        slots: 2,
+        requests_per_s: 34.0,
+        burst_factor: 1.7,
+        burst_s: 1.0..5.0,
+        slow_share: 0.25,
+        reports_seen_share: 1.0,
+    };
+    let run = |policy| Replay::new(policy, &pattern).run(&pattern);
+    let full_speed_slots = run(Policy::FullSpeedSlots);
+    let usable_slots = run(Policy::Current);
+    assert!(
+        usable_slots > full_speed_slots + 0.1,
+        "on-time share {full_speed_slots:.3} with full-speed slots only, {usable_slots:.3} with all"
+    );
+}
+
 #[test]
 fn queueing_at_the_entry_loses_nothing_under_light_load() {
     let pattern = Pattern {
         entries: 1,
         targets: 10,
+        slots: 4,
         requests_per_s: 30.0,
         burst_factor: 1.0,
         burst_s: 0.0..0.0,
--- a/control/tests/selection.rs
+++ b/control/tests/selection.rs
@@ -10,7 +10,7 @@
 use lacewingmoor_control::model::{Change, RecordKey, RecordValue, Target, TargetId};
 use lacewingmoor_control::selection::{
     Estimate, Locality, Scope, Selector, ServiceTime, TargetHealth, estimate, full_speed_slots,
-    still_has_capacity,
+    still_has_capacity, usable_slots,
 };
 use lacewingmoor_control::stats::{LoadReport, TargetStats};
 use lacewingmoor_control::view::View;
@@ -256,6 +256,42 @@
     assert_eq!(full_speed_slots(slots), full_speed);
 }
 
+#[rstest]
+#[case(1, 1)]
+#[case(2, 2)]
+#[case(3, 2)]
+#[case(4, 3)]
+#[case(6, 4)]
+#[case(10, 8)]
+fn slots_are_usable_if_their_use_serves_more_requests(#[case] slots: u32, #[case] usable: u32) {
+    assert_eq!(usable_slots(slots), usable);
+}
+
+#[rstest]
+#[case::idle(0, true, true, true)]
+#[case::full_speed_slot_in_use(1, false, true, false)]
+#[case::full(2, false, false, false)]
+fn second_of_two_slots_is_for_requests_that_are_on_time(
+    #[case] running: u32,
+    #[case] preferred: bool,
+    #[case] has_capacity: bool,
+    #[case] has_spare_capacity: bool,
+) {
+    let load = LoadReport {
+        slots: 2,
+        ..load(running, 0, 1.0)
+    };
+    let result = estimate(load, ms(1), ms(100), HEALTHY);
+    assert_eq!(
+        (
+            result.preferred,
+            result.has_capacity,
+            result.has_spare_capacity
+        ),
+        (preferred, has_capacity, has_spare_capacity)
+    );
+}
+
 #[test]
 fn service_time_follows_responses_without_jumps() {
     let mut service_time = ServiceTime::new(ms(1000));
