Register a few entries of each zone and count the others

Cause: each entry held a lease and a registration of its own.

Change: two entries of a zone register, more if it is large. The others, leaf entries, follow them and are counted by them; the count is published with the registration and shares the budgets as before. A source appoints the strongest of its followers; an entry that had to follow the store registers after a delay. After a start an entry reads the registrations first and lists all keys only if its zone has none. A leaf entry tries registered entries of other zones before the store and backs off from a store that fails. A source without data lets its followers wait instead of turning them away as stale.

Ruled out: registration of followers by name and discovery by seeds (docs/choices/sources.md).

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod admission;
 pub mod attempt;
 pub mod budget;
+pub mod membership;
 pub mod model;
 pub mod rendezvous;
 pub mod replica;
--- a/control/src/model.rs
+++ b/control/src/model.rs
@@ -61,6 +61,9 @@
     pub addr: SocketAddr,
     /// Relative capacity of its VM; entries with more capacity are preferred as sources.
     pub capacity: u32,
+    /// Number of entries that the registration stands for: the entry itself and the unregistered
+    /// entries that follow it.
+    pub members: u32,
 }
 
 /// A write or removal of a key of the store, with its value still encoded.
--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -6,16 +6,22 @@
 //! Every call to the store is billed, so the number of calls may grow with the number of zones but
 //! not with the number of entries. Entries therefore form a distribution tree: the highest-ranked
 //! entry of a region follows the store, the highest-ranked entry of each other zone follows that
-//! entry, and the remaining entries follow the highest-ranked one of their zone. Ranks are derived
-//! from the registrations, so no election is needed.
+//! entry, and the other registered entries follow the highest-ranked one of their zone. Leaf entries,
+//! which are not registered (see `membership`), are spread over the registered entries of their zone.
+//! Ranks are derived from the registrations, so no election is needed.
 //!
 //! A source that does not respond, closes the connection or has stale data is not used again until
-//! its backoff has passed, except for the store, which is used if every source is in backoff. At
-//! most two higher-ranked entries are tried before the store, so changes are delayed by at most two
-//! timeouts until the store is tried.
+//! its backoff has passed. At most two higher-ranked entries are tried in a search before the store,
+//! so changes are delayed by at most two timeouts until the store is tried. A leaf entry first tries
+//! registered entries of other zones for a while.
 //!
-//! There are no cycles: while the store is reachable an entry only follows higher-ranked entries,
-//! and it rejects a source whose data came through itself.
+//! Load pattern: the store rejects every call for seconds. If each of hundreds of leaf entries called
+//! it as often as the registered ones, an outage would multiply the calls. Once the store responds
+//! again, a leaf entry finds a fresh source among the registered entries.
+//!
+//! There are no cycles: while the store is reachable a registered entry only follows higher-ranked
+//! entries, a leaf entry has no followers, and an entry rejects a source whose data came through
+//! itself.
 
 use std::cmp::Reverse;
 use std::net::SocketAddr;
@@ -26,6 +32,7 @@
 use rand::seq::SliceRandom as _;
 
 use crate::model::{Entry, EntryName};
+use crate::rendezvous::rendezvous_key;
 use crate::view::View;
 use crate::{Map, Timestamp};
 
@@ -53,14 +60,25 @@
 /// [`AGE_MAX_SHARE_SAME_ZONE`].
 const SEARCHING_MAX_SHARE_SAME_ZONE: f64 = 0.15;
 
-/// Backoff after a failure of the store.
+/// Backoff after a failure of the store. It doubles with each further failure for a leaf entry that
+/// knows registered entries, up to [`LEAF_STORE_BACKOFF_MAX`].
 const STORE_BACKOFF: Duration = Duration::from_millis(700);
 
-/// Number of higher-ranked entries that are tried before the store.
-const HIGHER_RANKED_TRIES_MAX: usize = 2;
+/// Longest backoff of a leaf entry after failures of the store.
+const LEAF_STORE_BACKOFF_MAX: Duration = Duration::from_secs(8);
+
+/// Share of the deadline for applying changes for which a leaf entry searches among registered entries
+/// before it tries the store.
+const LEAF_STORE_DELAY_SHARE: f64 = 0.4;
+
+/// Number of higher-ranked entries that are tried in one search before the store.
+const HIGHER_RANKED_TRIES_MAX: u32 = 2;
+
+/// Time after a failure from which on another one starts a new search. Longer than a try takes.
+const SEARCH_GAP: Duration = Duration::from_secs(2);
 
 /// What an entry follows. A source that failed is in backoff: it is not used again until its backoff
-/// has passed, except for the store, which is used if every source is in backoff.
+/// has passed.
 #[value]
 #[derive(Eq, Hash)]
 pub enum Source {
@@ -110,57 +128,128 @@
 #[derive(Clone, Debug, Default)]
 pub struct SourceSelector {
     backoff_until: Map<Source, Timestamp>,
+    /// Entries that failed in the current search.
+    failed_tries: u32,
+    last_failure_at: Timestamp,
+    /// Failures of the store since it last responded.
+    store_failures: u32,
+    last_store_failure_at: Timestamp,
+}
+
+/// State of a search for a source.
+#[value]
+pub struct Search<'a> {
+    /// Time since the source was lost.
+    pub duration: Duration,
+    /// Maximum time until a change takes effect.
+    pub apply_deadline: Duration,
+    /// Peer addresses of entries to follow if no other source is available.
+    pub seeds: &'a [SocketAddr],
 }
 
 impl SourceSelector {
+    /// Records a response of the store.
+    pub fn record_store_response(&mut self) {
+        self.store_failures = 0;
+    }
+
     /// Starts the backoff of a source.
     pub fn record_failure(&mut self, now: Timestamp, source: &Source, failure: SourceFailure) {
         let backoff = match (source, failure) {
-            (Source::Store, _) => STORE_BACKOFF,
+            (Source::Store, _) => {
+                self.store_failures += 1;
+                self.last_store_failure_at = now;
+                STORE_BACKOFF
+            }
             (_, SourceFailure::Unavailable) => PEER_BACKOFF,
             (_, SourceFailure::Stale) => STALE_PEER_BACKOFF,
         };
         self.backoff_until.insert(source.clone(), now + backoff);
+        if now > self.last_failure_at + SEARCH_GAP {
+            self.failed_tries = 0;
+        }
+        self.last_failure_at = now;
+        self.failed_tries += u32::from(*source != Source::Store);
     }
 
-    /// Selects the source that the entry `own` follows next. The store is returned if every source
-    /// is in backoff.
+    /// Selects the source that the entry `own` follows next; `None` if every source is in backoff.
     pub fn select(
         &mut self,
         now: Timestamp,
         view: &View,
         own: &Entry,
-        seeds: &[SocketAddr],
+        search: &Search<'_>,
         rng: &mut impl Rng,
-    ) -> Source {
+    ) -> Option<Source> {
         self.backoff_until.retain(|_, until| *until > now);
-        self.higher_ranked(now, view, own)
-            .or_else(|| self.unless_backing_off(now, Source::Store))
-            .or_else(|| self.any_peer(now, view, own, rng))
-            .or_else(|| self.any_seed(now, own, seeds))
-            .unwrap_or(Source::Store)
+        let higher_ranked = match self.has_tries_left(now) {
+            true => self.higher_ranked(now, view, own),
+            false => None,
+        };
+        let is_leaf = !is_registered(view, own) && view.entries().next().is_some();
+        let store_delay = search.apply_deadline.mul_f64(LEAF_STORE_DELAY_SHARE);
+        let peers_first = is_leaf && search.duration < store_delay;
+        let mut any_peer = || self.any_peer(now, view, own, rng);
+        higher_ranked
+            .or_else(|| peers_first.then(&mut any_peer).flatten())
+            .or_else(|| self.store(now, is_leaf))
+            .or_else(any_peer)
+            .or_else(|| self.any_seed(now, own, search.seeds))
+    }
+
+    /// Returns true if another higher-ranked entry may be tried before the store.
+    fn has_tries_left(&self, now: Timestamp) -> bool {
+        let is_new_search = now > self.last_failure_at + SEARCH_GAP;
+        is_new_search || self.failed_tries < HIGHER_RANKED_TRIES_MAX
+    }
+
+    /// Returns the store unless it is in backoff.
+    fn store(&self, now: Timestamp, is_leaf: bool) -> Option<Source> {
+        let store = self.unless_backing_off(now, Source::Store)?;
+        let doublings = self.store_failures.saturating_sub(1).min(16);
+        let backoff = (STORE_BACKOFF * (1 << doublings)).min(LEAF_STORE_BACKOFF_MAX);
+        let is_due = self.store_failures == 0 || now >= self.last_store_failure_at + backoff;
+        (!is_leaf || is_due).then_some(store)
     }
 
     /// Returns a higher-ranked entry to follow, if one is available: of the own zone if it has any,
-    /// otherwise of the own region.
+    /// otherwise of the own region. Every registered entry ranks higher than a leaf entry.
     pub fn higher_ranked(&self, now: Timestamp, view: &View, own: &Entry) -> Option<Source> {
-        let higher_ranked: Vec<&Entry> = ranked(view)
-            .into_iter()
-            .take_while(|entry| rank(entry) < rank(own))
-            .collect();
-        let in_zone = higher_ranked.iter().filter(|entry| entry.zone == own.zone);
-        let in_region = higher_ranked
-            .iter()
-            .filter(|entry| entry.region == own.region && entry.zone != own.zone);
-        let candidates = match in_zone.clone().next() {
-            Some(_) => in_zone.take(HIGHER_RANKED_TRIES_MAX).collect::<Vec<_>>(),
-            None => in_region.take(HIGHER_RANKED_TRIES_MAX).collect(),
+        let mut candidates: Vec<&Entry> = match is_registered(view, own) {
+            true => ranked(view)
+                .into_iter()
+                .take_while(|entry| rank(entry) < rank(own))
+                .collect(),
+            false => spread(view, own),
         };
+        candidates.retain(|entry| entry.region == own.region);
+        candidates.sort_by_key(|entry| entry.zone != own.zone);
+        let only_own_zone = is_registered(view, own)
+            && candidates
+                .first()
+                .is_some_and(|first| first.zone == own.zone);
         candidates
             .into_iter()
+            .filter(|entry| !only_own_zone || entry.zone == own.zone)
             .find_map(|entry| self.unless_backing_off(now, Source::Peer(entry.name.clone())))
     }
 
+    /// Returns true if the entry `own` should leave `source`, an entry that it has followed since it
+    /// was a leaf entry, for another one: a leaf entry returns to its own zone, and an entry that has
+    /// registered since no longer follows a lower-ranked one.
+    pub fn should_leave(&self, now: Timestamp, view: &View, own: &Entry, source: &Entry) -> bool {
+        if is_registered(view, own) {
+            return rank(source) > rank(own);
+        }
+        let available = self.higher_ranked(now, view, own);
+        source.zone != own.zone
+            && self.has_tries_left(now)
+            && available.is_some_and(|available| match available {
+                Source::Peer(name) => view.entry(&name).is_some_and(|e| e.zone == own.zone),
+                Source::Store | Source::Seed(_) => false,
+            })
+    }
+
     /// Returns any other entry, preferring other zones: entries of the own zone mostly depend on
     /// the same source as this one.
     fn any_peer(
@@ -192,8 +281,25 @@
     }
 }
 
+/// Returns true if the entry is registered, according to the view.
+pub fn is_registered(view: &View, entry: &Entry) -> bool {
+    view.entry(&entry.name).is_some()
+}
+
+/// Returns the registered entries in the order in which the leaf entry `own` tries them: by capacity,
+/// and in a different order for each leaf entry, so that each source gets a part of them.
+fn spread<'a>(view: &'a View, own: &Entry) -> Vec<&'a Entry> {
+    let mut entries = ranked(view);
+    let key = |entry: &&Entry| {
+        let key = rendezvous_key(&own.name, &entry.name);
+        (Reverse(entry.capacity), key)
+    };
+    entries.sort_by_cached_key(key);
+    entries
+}
+
 /// Returns the sort key of an entry's rank; the smallest key is the highest rank.
-fn rank(entry: &Entry) -> (Reverse<u32>, &EntryName) {
+pub fn rank(entry: &Entry) -> (Reverse<u32>, &EntryName) {
     (Reverse(entry.capacity), &entry.name)
 }
 
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -76,10 +76,10 @@
 
 /// Number of entries assumed while their registrations have not been read in time: the number that
 /// the load balancer is designed for.
-const ASSUMED_ENTRY_COUNT: usize = 128;
+const ASSUMED_ENTRY_COUNT: usize = 512;
 
 /// The same for a single zone.
-const ASSUMED_ENTRY_COUNT_IN_ZONE: usize = 20;
+const ASSUMED_ENTRY_COUNT_IN_ZONE: usize = 64;
 
 /// Current state of bundle, targets, zones and entries, with the revision of each.
 #[derive(Default)]
@@ -153,8 +153,8 @@
         self.entries_overdue && !self.has_read_entries
     }
 
-    /// Returns the number of entries that share the retry budgets and the rate of probes, including
-    /// this one; at least 1.
+    /// Returns the number of entries that share the retry budgets and the rate of probes, registered
+    /// or not; at least 1.
     ///
     /// Fault: the store stops responding while all entries are starting. Entries that do not know
     /// of each other would each use the entire shared budget.
@@ -163,7 +163,7 @@
             true => ASSUMED_ENTRY_COUNT,
             false => 1,
         };
-        self.entries.len().max(minimum)
+        self.member_count(|_| true).max(minimum)
     }
 
     /// Returns the number of entries in a zone, which share the warm-up rate of its targets; at
@@ -173,8 +173,13 @@
             true => ASSUMED_ENTRY_COUNT_IN_ZONE,
             false => 1,
         };
-        let registered = self.entries().filter(|entry| &*entry.zone == zone).count();
-        registered.max(minimum)
+        self.member_count(|entry| &*entry.zone == zone).max(minimum)
+    }
+
+    /// Returns the number of entries that the matching registrations stand for.
+    fn member_count(&self, matches: impl Fn(&Entry) -> bool) -> usize {
+        let registered = self.entries().filter(|entry| matches(entry));
+        registered.map(|entry| entry.members as usize).sum()
     }
 
     /// Records that the store responds again after an outage. Targets whose registration is removed
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -1,10 +1,11 @@
 //! Updates between entries: following another entry, and serving followers.
 
-use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use lacewingmoor_control::membership::Follower;
+use lacewingmoor_control::model::EntryName;
 use lacewingmoor_control::source::SourceHealth;
 use slog::{debug, info};
 use tokio::net::{TcpListener, TcpStream};
@@ -26,20 +27,18 @@
 /// Delay after a connection could not be accepted.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// Follows another entry until it fails or is not usable as a source. `same_zone` means that it is
-/// in the same zone as this entry.
-pub async fn follow(shared: &Rc<SharedState>, addr: SocketAddr, same_zone: bool) -> Error {
-    match try_follow(shared, addr, same_zone).await {
-        Ok(never) => match never {},
-        Err(error) => error,
-    }
-}
-
-async fn try_follow(
+/// Follows another entry until `should_leave` returns true after a message. `same_zone` means that it
+/// is in the same zone as this entry.
+///
+/// # Errors
+///
+/// Returns why the entry failed or is not usable as a source.
+pub async fn follow(
     shared: &Rc<SharedState>,
     addr: SocketAddr,
     same_zone: bool,
-) -> Result<Infallible, Error> {
+    should_leave: impl Fn() -> bool,
+) -> Result<(), Error> {
     let connect = TcpStream::connect(addr);
     let mut stream = tokio::time::timeout(CONNECT_TIMEOUT, connect)
         .await
@@ -51,6 +50,8 @@
     let subscribe = Subscribe {
         entry: shared.settings.entry_name.clone(),
         after: shared.replica.borrow().revision(),
+        zone: shared.settings.zone.clone(),
+        capacity: shared.settings.capacity,
     };
     peer_protocol::write(&mut stream, &subscribe).await?;
     loop {
@@ -61,6 +62,9 @@
             Message::Update(update) => view_sync::apply_update(shared, update),
             Message::Status(status) => apply_status(shared, status, same_zone)?,
         }
+        if should_leave() {
+            return Ok(());
+        }
     }
 }
 
@@ -82,6 +86,9 @@
     if status.has_read_entries {
         shared.view.borrow_mut().mark_entries_read();
     }
+    if status.appointed {
+        shared.request_registration();
+    }
     Ok(())
 }
 
@@ -105,6 +112,56 @@
     }
 }
 
+/// Counts a connection of a follower until dropped.
+struct FollowerConnection {
+    shared: Rc<SharedState>,
+    name: EntryName,
+}
+
+impl FollowerConnection {
+    fn new(shared: &Rc<SharedState>, subscribe: &Subscribe) -> Self {
+        let name: EntryName = subscribe.entry.as_str().into();
+        shared.followers.borrow_mut().connect(Follower {
+            name: name.clone(),
+            zone: subscribe.zone.as_str().into(),
+            capacity: subscribe.capacity,
+        });
+        let shared = shared.clone();
+        Self { shared, name }
+    }
+
+    /// Returns true if the follower should register.
+    fn is_appointed(&self) -> bool {
+        self.shared.followers.borrow().is_appointed(&self.name)
+    }
+}
+
+impl Drop for FollowerConnection {
+    fn drop(&mut self) {
+        let now = self.shared.now();
+        self.shared
+            .followers
+            .borrow_mut()
+            .disconnect(now, &self.name);
+    }
+}
+
+/// Waits until this entry has data, but not longer than a follower waits for its first message.
+///
+/// Load pattern: all entries restart at the same time. Followers would reject a source that has
+/// nothing yet as stale, and follow the store instead.
+async fn wait_for_data(shared: &SharedState) {
+    let mut changes = shared.subscribe_changes();
+    let wait = async {
+        while shared.replica.borrow().revision() == 0 {
+            // The sender lives as long as the process.
+            let _ = changes.changed().await;
+        }
+    };
+    // Without data, the status tells the follower that this source is stale.
+    let _ = tokio::time::timeout(MESSAGE_TIMEOUT / 2, wait).await;
+}
+
 async fn serve_follower(shared: &Rc<SharedState>, mut stream: TcpStream) -> Result<(), Error> {
     stream
         .set_nodelay(true)
@@ -113,7 +170,9 @@
         tokio::time::timeout(MESSAGE_TIMEOUT, peer_protocol::read(&mut stream))
             .await
             .map_err(|_| Error::Timeout("subscribe"))??;
+    let connection = FollowerConnection::new(shared, &subscribe);
     info!(shared.log, "follower"; "entry" => subscribe.entry, "after" => subscribe.after);
+    wait_for_data(shared).await;
     let mut after = subscribe.after;
     let mut changes = shared.subscribe_changes();
     loop {
@@ -129,6 +188,7 @@
             entry: shared.settings.entry_name.clone(),
             path: shared.source_path.borrow().clone(),
             has_read_entries: shared.view.borrow().has_read_entries(),
+            appointed: connection.is_appointed(),
         };
         write(&mut stream, &Message::Status(status)).await?;
         // The next status is due after the interval, or at once after a change.
--- a/entry/src/peer_protocol.rs
+++ b/entry/src/peer_protocol.rs
@@ -18,10 +18,14 @@
 /// First and only message of a follower.
 #[wire]
 pub struct Subscribe {
-    /// Name of the follower, for the log.
+    /// Name of the follower.
     pub entry: String,
     /// The follower has every change up to this revision.
     pub after: Revision,
+    /// Availability zone of the follower.
+    pub zone: String,
+    /// Relative capacity of the follower's VM.
+    pub capacity: u32,
 }
 
 /// Message of a source.
@@ -47,6 +51,8 @@
     pub path: Vec<String>,
     /// True if the source, or the one that it follows, has read the registrations of entries.
     pub has_read_entries: bool,
+    /// True if the follower should register.
+    pub appointed: bool,
 }
 
 quick_error! {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -30,8 +30,9 @@
 
 /// Interval of the housekeeping: connections to targets that were idle for too long are closed, the
 /// first reading of the entries' registrations is marked as overdue once its deadline has passed,
-/// targets whose registration lapsed and whose time to register again has passed are dropped, and
-/// the statistics of targets that are no longer registered are removed.
+/// targets whose registration lapsed and whose time to register again has passed are dropped, the
+/// statistics of targets that are no longer registered are removed, and a follower is appointed to
+/// register if its zone has too few registered entries.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(500);
 
 /// Runs an entry until it has shut down after a stop signal.
@@ -213,6 +214,10 @@
         let effects = shared.view.borrow_mut().drop_lapsed_targets(shared.now());
         view_sync::apply_effects(&shared, &effects);
         let view = shared.view.borrow();
+        if shared.is_registered() {
+            let mut followers = shared.followers.borrow_mut();
+            followers.update_appointment(shared.now(), &view, &shared.own_entry);
+        }
         let is_registered = |id: &str| view.target(id).is_some();
         let mut target_stats = shared.target_stats.borrow_mut();
         target_stats.retain(|id, stats| is_registered(id) || stats.in_flight > 0);
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -6,15 +6,17 @@
 
 use lacewingmoor_bundle::Bundle;
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget};
+use lacewingmoor_control::membership::{self, Followers};
 use lacewingmoor_control::model::{self, TargetId};
 use lacewingmoor_control::replica::Replica;
 use lacewingmoor_control::selection::{Locality, ServiceTime};
 use lacewingmoor_control::shutdown::{Phase, Shutdown};
-use lacewingmoor_control::source::SourceHealth;
+use lacewingmoor_control::source::{SourceHealth, is_registered};
 use lacewingmoor_control::split::WeightedRoundRobin;
 use lacewingmoor_control::stats::TargetStats;
 use lacewingmoor_control::view::View;
 use lacewingmoor_control::{Map, Timestamp};
+use rand::RngExt as _;
 use rand::rngs::StdRng;
 use slog::Logger;
 use tokio::sync::watch;
@@ -53,8 +55,12 @@
     pub settings: Settings,
     /// Location and name of this entry.
     pub locality: Locality,
-    /// This entry as it is registered in the store.
+    /// This entry as it registers in the store, without followers.
     pub own_entry: model::Entry,
+    /// How long this entry follows the store before it registers.
+    pub registration_delay: Duration,
+    /// Entries that follow this one.
+    pub followers: RefCell<Followers>,
     /// Logger.
     pub log: Logger,
     /// Metrics of the request path.
@@ -97,6 +103,7 @@
     shutdown: RefCell<Shutdown>,
     phase_sender: watch::Sender<Phase>,
     change_sender: watch::Sender<()>,
+    registration_sender: watch::Sender<bool>,
 }
 
 impl SharedState {
@@ -107,13 +114,17 @@
             region: settings.region.as_str().into(),
             entry: settings.entry_name.as_str().into(),
         };
+        let mut rng: StdRng = rand::make_rng();
         Rc::new(Self {
+            registration_delay: membership::registration_delay(settings.capacity, rng.random()),
+            followers: RefCell::default(),
             own_entry: model::Entry {
                 name: settings.entry_name.as_str().into(),
                 zone: locality.zone.clone(),
                 region: locality.region.clone(),
                 addr: settings.peer_addr,
                 capacity: settings.capacity,
+                members: 1,
             },
             locality,
             log,
@@ -128,7 +139,7 @@
             longest_caller_timeouts: RefCell::default(),
             pool: Pool::default(),
             queue: Queue::default(),
-            rng: RefCell::new(rand::make_rng()),
+            rng: RefCell::new(rng),
             in_flight: Cell::new(0),
             caller_connections: Cell::new(0),
             reloadable: RefCell::new(Rc::new(settings.reloadable.clone())),
@@ -137,6 +148,7 @@
             shutdown: RefCell::default(),
             phase_sender: watch::Sender::new(Phase::Running),
             change_sender: watch::Sender::new(()),
+            registration_sender: watch::Sender::new(false),
             settings,
         })
     }
@@ -252,6 +264,27 @@
         self.change_sender.subscribe()
     }
 
+    /// Returns true if this entry is registered, according to the view.
+    pub fn is_registered(&self) -> bool {
+        is_registered(&self.view.borrow(), &self.own_entry)
+    }
+
+    /// Makes this entry register in the store.
+    pub fn request_registration(&self) {
+        self.registration_sender.send_if_modified(|requested| {
+            let is_first = !*requested;
+            *requested = true;
+            is_first
+        });
+    }
+
+    /// Waits until this entry has to register.
+    pub async fn wait_for_registration_request(&self) {
+        let mut receiver = self.registration_sender.subscribe();
+        // Cannot fail: `self` owns the sender.
+        let _ = receiver.wait_for(|requested| *requested).await;
+    }
+
     /// Calls `f` with the statistics of a target, which are created if there are none.
     pub fn with_target_stats<T>(&self, id: &TargetId, f: impl FnOnce(&mut TargetStats) -> T) -> T {
         f(self
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -43,6 +43,8 @@
         "knowledge_age_ms": shared.view_age().as_millis() as u64,
         "knowledge_through": *shared.source_path.borrow(),
         "entries": view.entries().count(),
+        "registered": shared.is_registered(),
+        "members": view.entry_count(),
         "entries_read": view.has_read_entries(),
         "zones_out": zones_out,
         "requests_in_flight": shared.in_flight.get(),
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -1,13 +1,14 @@
 //! Keeps the view up to date by following the store or another entry.
 //! `lacewingmoor_control::source` defines the ranks of entries.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::model::{Record, Revision};
 use lacewingmoor_control::replica::Update;
-use lacewingmoor_control::source::{Source, SourceFailure, SourceSelector};
+use lacewingmoor_control::source::{Search, Source, SourceFailure, SourceSelector};
 use lacewingmoor_control::view::Effect;
 use lacewingmoor_platform::registry::{self, ALL_KEYS_PREFIX, ENTRIES_PREFIX};
 use lacewingmoor_platform::store::{self, Consistency};
@@ -28,8 +29,8 @@
 /// that a series of changes takes few billed calls.
 const BATCH_PAUSE_SHARE: f64 = 0.12;
 
-/// Pause after the first listing of a process, so that entries that start at the same time have
-/// registered before they select the entry to follow.
+/// Pause after the first listing of all keys, so that entries of other zones that start at the same
+/// time have registered before this one selects the entry to follow.
 const START_PAUSE: Duration = Duration::from_millis(600);
 
 /// Shortest pause before the next source is tried. The pause is up to twice as long at random, so
@@ -81,17 +82,14 @@
 /// runs.
 pub async fn run(shared: Rc<SharedState>) {
     let mut selector = SourceSelector::default();
+    let mut register_at = match discover(&shared).await {
+        Discovery::NoSource => shared.now(),
+        Discovery::Sources | Discovery::Failed => shared.now() + shared.registration_delay,
+    };
     loop {
-        let source = {
-            let view = shared.view.borrow();
-            let mut rng = shared.rng.borrow_mut();
-            selector.select(
-                shared.now(),
-                &view,
-                &shared.own_entry,
-                &shared.settings.seeds,
-                &mut *rng,
-            )
+        let Some(source) = select_source(&shared, &mut selector) else {
+            tokio::time::sleep(SWITCH_PAUSE_MAX).await;
+            continue;
         };
         info!(
             shared.log, "source";
@@ -99,11 +97,11 @@
             "age_ms" => shared.view_age().as_millis() as u64,
         );
         let error = match &source {
-            Source::Store => follow_store(&shared, &selector).await,
-            Source::Peer(name) => follow_peer(&shared, name).await,
-            // The zone of a seed is unknown, so the limits for other zones apply.
-            Source::Seed(addr) => peer::follow(&shared, *addr, false).await.into(),
+            Source::Store => follow_store(&shared, &mut selector, register_at).await,
+            Source::Peer(name) => follow_peer(&shared, &selector, name).await,
+            Source::Seed(addr) => follow_seed(&shared, *addr).await,
         };
+        register_at = shared.now() + shared.registration_delay;
         let failure = match &error {
             Error::HigherRankedAvailable => continue,
             Error::Peer(peer_protocol::Error::Stale(_) | peer_protocol::Error::Circular) => {
@@ -120,6 +118,17 @@
     }
 }
 
+fn select_source(shared: &SharedState, selector: &mut SourceSelector) -> Option<Source> {
+    let search = Search {
+        duration: shared.searching(),
+        apply_deadline: shared.reloadable().apply_deadline,
+        seeds: &shared.settings.seeds,
+    };
+    let view = shared.view.borrow();
+    let mut rng = shared.rng.borrow_mut();
+    selector.select(shared.now(), &view, &shared.own_entry, &search, &mut *rng)
+}
+
 /// Returns the pause before the next source is tried: short at first, because the next one is
 /// usually usable, and longer while the store is unavailable to all entries.
 fn switch_pause(searching: Duration) -> Duration {
@@ -128,13 +137,65 @@
         .clamp(SWITCH_PAUSE_MIN, SWITCH_PAUSE_MAX)
 }
 
-async fn follow_peer(shared: &Rc<SharedState>, name: &str) -> Error {
-    let peer = shared.view.borrow().entry(name).cloned();
-    match peer {
-        Some(peer) => peer::follow(shared, peer.addr, peer.zone == shared.locality.zone)
-            .await
-            .into(),
-        None => Error::NotRegistered,
+/// What an entry that has just started knows of others.
+enum Discovery {
+    /// Its zone has registered entries.
+    Sources,
+    /// Its zone has no registered entry, even after the registration delay.
+    NoSource,
+    /// The store did not respond.
+    Failed,
+}
+
+/// Reads the registrations of entries after a start. If the zone has none, reads them again after
+/// the registration delay, because another entry of the zone may register first.
+///
+/// Load pattern: all entries of a fleet start at the same time. Each that listed all keys and
+/// registered would take five calls; one that finds an entry to follow takes two stale reads.
+async fn discover(shared: &Rc<SharedState>) -> Discovery {
+    let mut client = Client::new(shared);
+    for delay in [Duration::ZERO, shared.registration_delay] {
+        tokio::time::sleep(delay).await;
+        if let Err(error) = read_entries(shared, &mut client).await {
+            warn!(shared.log, "discovery_failed"; "cause" => %error);
+            return Discovery::Failed;
+        }
+        if shared.is_registered() {
+            shared.request_registration();
+            return Discovery::Sources;
+        }
+        let view = shared.view.borrow();
+        if view
+            .entries()
+            .any(|entry| entry.zone == shared.locality.zone)
+        {
+            return Discovery::Sources;
+        }
+    }
+    Discovery::NoSource
+}
+
+async fn follow_peer(shared: &Rc<SharedState>, selector: &SourceSelector, name: &str) -> Error {
+    let Some(peer) = shared.view.borrow().entry(name).cloned() else {
+        return Error::NotRegistered;
+    };
+    let was_leaf = !shared.is_registered();
+    let should_leave = || {
+        let view = shared.view.borrow();
+        was_leaf && selector.should_leave(shared.now(), &view, &shared.own_entry, &peer)
+    };
+    let same_zone = peer.zone == shared.locality.zone;
+    match peer::follow(shared, peer.addr, same_zone, should_leave).await {
+        Ok(()) => Error::HigherRankedAvailable,
+        Err(error) => error.into(),
+    }
+}
+
+/// Follows a seed until it fails. Its zone is unknown, so the limits for other zones apply.
+async fn follow_seed(shared: &Rc<SharedState>, addr: SocketAddr) -> Error {
+    match peer::follow(shared, addr, false, || false).await {
+        Ok(()) => Error::HigherRankedAvailable,
+        Err(error) => error.into(),
     }
 }
 
@@ -146,8 +207,13 @@
         .is_some()
 }
 
-/// Follows the store until it fails or a higher-ranked entry can be followed.
-async fn follow_store(shared: &Rc<SharedState>, selector: &SourceSelector) -> Error {
+/// Follows the store until it fails or a higher-ranked entry can be followed. Registers this entry at
+/// `register_at`, so that others can follow it.
+async fn follow_store(
+    shared: &Rc<SharedState>,
+    selector: &mut SourceSelector,
+    register_at: Timestamp,
+) -> Error {
     let mut client = Client::new(shared);
     // A watch in the first iteration only asks for pending changes and does not wait, so that
     // followers get these, and a confirmed view, without delay.
@@ -171,22 +237,28 @@
             }
             Err(error) => return error.into(),
         };
+        selector.record_store_response();
         wait = shared.reloadable().apply_deadline.mul_f64(WATCH_WAIT_SHARE);
         let changed = !update.records.is_empty();
         shared.record_store_source(confirmed_at);
         apply_update(shared, update);
-        if shared.now() >= rank_check_at {
+        let registers = !shared.is_registered() && shared.now() >= register_at;
+        if registers || shared.now() >= rank_check_at {
             rank_check_at = shared.now() + RANK_CHECK_INTERVAL;
             if has_higher_ranked(shared, selector) {
                 return Error::HigherRankedAvailable;
             }
         }
+        if registers {
+            shared.request_registration();
+        }
         if is_starting {
             is_starting = false;
             tokio::time::sleep(START_PAUSE).await;
             if let Err(error) = read_entries(shared, &mut client).await {
                 return error.into();
             }
+            shared.view.borrow_mut().mark_entries_read();
             if has_higher_ranked(shared, selector) {
                 return Error::HigherRankedAvailable;
             }
@@ -216,7 +288,6 @@
             ..entries
         },
     );
-    shared.view.borrow_mut().mark_entries_read();
     Ok(())
 }
 
--- a/entry/tests/peer_protocol.rs
+++ b/entry/tests/peer_protocol.rs
@@ -20,6 +20,7 @@
         entry: "fake".into(),
         path: path.iter().map(|name| (*name).to_owned()).collect(),
         has_read_entries: true,
+        appointed: false,
     })
 }
 
@@ -72,6 +73,8 @@
     let subscribe = Subscribe {
         entry: "follower".into(),
         after: 0,
+        zone: "north-a".into(),
+        capacity: 1,
     };
     peer_protocol::write(&mut stream, &subscribe)
         .await
--- a/entry/tests/recovery.rs
+++ b/entry/tests/recovery.rs
@@ -106,6 +106,85 @@
     .await;
 }
 
+/// Returns a number from the status page of an entry.
+async fn status_number(entry: &EntryProcess, key: &str) -> Option<u64> {
+    let (_, text) = get(entry.metrics_addr, "/status").await?;
+    let status: serde_json::Value = serde_json::from_str(&text).ok()?;
+    status[key].as_u64()
+}
+
+/// Starts a fleet of one entry, and then `count` entries in its zone.
+async fn fleet_in_one_zone(count: usize) -> Fleet {
+    let mut fleet = fleet(&lanes(), 1).await;
+    for i in 1..=count {
+        fleet
+            .add_entry(&format!("leaf-{i}"), "north-a", fleet.store.addr())
+            .expect("the entry starts");
+    }
+    fleet
+        .wait_ready(EVENT_TIMEOUT)
+        .await
+        .expect("entries are ready");
+    fleet
+}
+
+/// Guards against a number of store calls that grows with the number of entries, and against shared
+/// budgets that are used several times over because unregistered entries are not counted.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn few_entries_of_a_zone_register_and_every_entry_is_counted() {
+    let fleet = fleet_in_one_zone(6).await;
+    for entry in &fleet.entries {
+        until("every entry counts all members", async || {
+            status_number(entry, "members").await == Some(7)
+        })
+        .await;
+    }
+    assert_eq!(fleet.store.keys("lacewingmoor/entries/").len(), 2);
+    assert_eq!(fleet.store.created_lease_count(), 2);
+}
+
+/// Guards against leaf entries that are left out when all registered entries of their zone die, and
+/// against all of them registering then.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn leaf_entries_follow_the_store_and_then_one_of_them_after_their_sources_are_killed() {
+    let mut fleet = fleet_in_one_zone(5).await;
+    let registered = |fleet: &Fleet| fleet.store.keys("lacewingmoor/entries/");
+    until("two entries are registered", async || {
+        registered(&fleet).len() == 2
+    })
+    .await;
+    let first_two = registered(&fleet);
+    for entry in &mut fleet.entries {
+        let name = entry.settings_path.file_stem().expect("a file name");
+        let key = format!("lacewingmoor/entries/{}", name.to_string_lossy());
+        if first_two.contains(&key) {
+            entry.signal(libc::SIGKILL);
+            entry.wait(EVENT_TIMEOUT);
+        }
+    }
+    fleet.store.set_zone_out_of_service("south-a", true);
+    let mut survivors = Vec::new();
+    for entry in &mut fleet.entries {
+        if !entry.has_exited() {
+            survivors.push(entry.metrics_addr);
+        }
+    }
+    assert_eq!(survivors.len(), 4);
+    for addr in survivors {
+        until("the entry takes the zone out of service", async || {
+            let status = get(addr, "/status").await;
+            status.is_some_and(|(_, text)| text.contains("\"zones_out\":[\"south-a\"]"))
+        })
+        .await;
+    }
+    until("another entry registers", async || {
+        registered(&fleet).len() > 2
+    })
+    .await;
+    tokio::time::sleep(Duration::from_secs(4)).await;
+    assert!(registered(&fleet).len() <= 4, "{:?}", registered(&fleet));
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn invalid_settings_on_reload_are_rejected_and_valid_ones_applied() {
     let fleet = fleet(&lanes(), 1).await;
