Name the members of a registration so that each entry counts once

While the store is unavailable, leaf entries go from source to source, and each source counted all that had followed it within 24 s.

Change: a registration names the leaf entries of its zone that follow it. The view counts distinct names, in total and by zone. A list is written again only if a connected follower is named by no entry or several names have left.

Ruled out: a shorter retention, which counts too few while a source is lost.

--- a/control/src/membership.rs
+++ b/control/src/membership.rs
@@ -2,8 +2,9 @@
 //!
 //! Every call to the store is billed, and a registration takes a lease, a write and its renewals. So
 //! only a few entries of each zone register: those that others may follow. The others are leaf
-//! entries. They are known only to the entry that they follow, which counts them and publishes the
-//! count with its own registration. The number of calls therefore grows with the number of zones.
+//! entries. They are known only to the entry that they follow, which names them as members in its own
+//! registration, so that they count as users of shared budgets. The number of calls therefore grows
+//! with the number of zones.
 //!
 //! An entry registers when the entry that it follows appoints it, or when it had to follow the store
 //! because no registered entry of its zone was available. The delay before it does so differs from
@@ -27,15 +28,12 @@
 /// Time in which an appointed entry should have registered; then another one is appointed.
 const APPOINTMENT_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Time for which a follower is counted after its connection has ended. Equals the time after which
-/// the registration of an entry that has exited is removed.
+/// Time for which a follower stays a member after its connection has ended. Equals the time after
+/// which the registration of an entry that has exited is removed.
 const MEMBER_RETENTION: Duration = Duration::from_secs(24);
 
-/// Shortest time between two publications of the count.
-const PUBLISH_INTERVAL: Duration = Duration::from_millis(1500);
-
-/// Published count, as a multiple of the current one, above which a lower count is published.
-const PUBLISH_EXCESS: f64 = 1.3;
+/// Number of published members that have left above which the list is published again.
+const FORMER_MEMBERS_MAX: usize = 4;
 
 /// Longest random part of the registration delay.
 const DELAY_RANDOM_MAX: Duration = Duration::from_millis(600);
@@ -55,13 +53,6 @@
     DELAY_RANDOM_MAX.mul_f64(draw) + DELAY_HEAD_START.mul_f64(1.0 - strength)
 }
 
-/// Returns true if the count of members should be published again.
-pub fn should_publish(published: u32, current: u32, since_published: Duration) -> bool {
-    let too_low = current > published;
-    let too_high = f64::from(published) > f64::from(current) * PUBLISH_EXCESS;
-    since_published >= PUBLISH_INTERVAL && (too_low || too_high)
-}
-
 /// An entry that follows this one.
 #[value]
 pub struct Follower {
@@ -87,8 +78,6 @@
     appointment: Option<(EntryName, Timestamp)>,
     /// Entries whose appointment timed out since all were last considered.
     passed_over: Set<EntryName>,
-    /// Count that an earlier process with the same name published, and until when it applies.
-    inherited: Option<(u32, Timestamp)>,
 }
 
 impl Followers {
@@ -112,24 +101,57 @@
         }
     }
 
-    /// Takes over the count that an earlier process with the same name published. It is the minimum
-    /// until the followers of that process have had time to find a source.
-    pub fn inherit(&mut self, now: Timestamp, members: u32) {
-        self.inherited = Some((members, now + MEMBER_RETENTION));
+    /// Takes over the members that an earlier process with the same name published. They stay members
+    /// until they have had time to find a source.
+    pub fn inherit(&mut self, now: Timestamp, members: &[EntryName], zone: &ZoneName) {
+        for name in members {
+            let state = FollowerState {
+                follower: Follower {
+                    name: name.clone(),
+                    zone: zone.clone(),
+                    capacity: 0,
+                },
+                connections: 0,
+                disconnected_at: now,
+            };
+            self.by_name.entry(name.clone()).or_insert(state);
+        }
     }
 
-    /// Returns the number of entries that the registration of this entry stands for. A follower
-    /// counts for [`MEMBER_RETENTION`] after it was lost: it shares the budgets until it is certain
-    /// that another entry counts it or that it has exited.
-    pub fn member_count(&mut self, now: Timestamp, view: &View) -> u32 {
+    /// Returns the leaf entries of `zone`, that of this entry, to name as members, in the order of their
+    /// names. Those of other zones soon return to a source of their zone. A follower stays a member
+    /// for [`MEMBER_RETENTION`] after it was lost: it shares the budgets until it is certain that
+    /// another entry names it or that it has exited.
+    pub fn members(&mut self, now: Timestamp, view: &View, zone: &ZoneName) -> Vec<EntryName> {
         self.by_name.retain(|_, state| {
             state.connections > 0 || now < state.disconnected_at + MEMBER_RETENTION
         });
-        let names = self.by_name.keys();
-        let leaves = names.filter(|name| view.entry(name).is_none());
-        let members = 1 + leaves.count() as u32;
-        let inherited = self.inherited.filter(|(_, until)| now < *until);
-        inherited.map_or(members, |(minimum, _)| members.max(minimum))
+        let followers = self.by_name.values().map(|state| &state.follower);
+        let leaves = followers.filter(|f| f.zone == *zone && view.entry(&f.name).is_none());
+        let mut members: Vec<EntryName> = leaves.map(|leaf| leaf.name.clone()).collect();
+        members.sort();
+        members
+    }
+
+    /// Returns true if the list of members should be published: a connected follower is not counted
+    /// yet by any entry, or several published members have left.
+    ///
+    /// Load pattern: leaf entries go from source to source while the store is unavailable. They are
+    /// counted already, so nothing is published.
+    pub fn should_publish(
+        &mut self,
+        now: Timestamp,
+        view: &View,
+        zone: &ZoneName,
+        published: &[EntryName],
+    ) -> bool {
+        let members = self.members(now, view, zone);
+        let former = published.iter().filter(|name| !members.contains(name));
+        let has_uncounted = members.iter().any(|name| {
+            let is_connected = self.by_name.get(name).is_some_and(|s| s.connections > 0);
+            is_connected && !view.counts_entry(name)
+        });
+        has_uncounted || former.count() > FORMER_MEMBERS_MAX
     }
 
     /// Returns true if the follower should register.
@@ -183,8 +205,8 @@
 /// the highest-ranked one of the zone, or any entry if the zone has none.
 fn lacks_registered_entries(view: &View, zone: &ZoneName, own: &Entry) -> bool {
     let registered: Vec<_> = view.entries().filter(|entry| entry.zone == *zone).collect();
-    let members: usize = registered.iter().map(|entry| entry.members as usize).sum();
-    let wanted = members
+    let wanted = view
+        .entry_count_in_zone(zone)
         .div_ceil(MEMBERS_PER_REGISTERED_MAX)
         .max(REGISTERED_PER_ZONE_MIN);
     let highest = registered.iter().min_by(|a, b| rank(a).cmp(&rank(b)));
--- a/control/src/model.rs
+++ b/control/src/model.rs
@@ -61,9 +61,8 @@
     pub addr: SocketAddr,
     /// Relative capacity of its VM; entries with more capacity are preferred as sources.
     pub capacity: u32,
-    /// Number of entries that the registration stands for: the entry itself and the unregistered
-    /// entries that follow it.
-    pub members: u32,
+    /// Unregistered entries that follow it.
+    pub members: Vec<EntryName>,
 }
 
 /// A write or removal of a key of the store, with its value still encoded.
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -13,7 +13,7 @@
 use crate::model::{
     Change, Entry, EntryName, RecordKey, RecordValue, Revision, Target, TargetId, ZoneName,
 };
-use crate::{Map, Timestamp};
+use crate::{Map, Set, Timestamp};
 
 /// Time after a store outage for which lapsed targets are kept: targets write their registration
 /// again within two seconds. See [`TargetChange::Lapsed`].
@@ -95,6 +95,34 @@
     has_read_entries: bool,
     /// True once those registrations should have been read.
     entries_overdue: bool,
+    /// Numbers of registered entries and their members, in total and by zone.
+    entry_counts: EntryCounts,
+}
+
+/// Numbers of entries. An entry counts once, even if several others name it as a member.
+#[derive(Default)]
+struct EntryCounts {
+    total: usize,
+    by_zone: Map<ZoneName, usize>,
+}
+
+impl EntryCounts {
+    fn new<'a>(entries: impl Iterator<Item = &'a Rc<Entry>>) -> Self {
+        let mut all = Set::default();
+        let mut by_zone: Map<ZoneName, Set<EntryName>> = Map::default();
+        for entry in entries {
+            let in_zone = by_zone.entry(entry.zone.clone()).or_default();
+            for name in std::iter::once(&entry.name).chain(&entry.members) {
+                all.insert(name.clone());
+                in_zone.insert(name.clone());
+            }
+        }
+        let by_zone = by_zone.into_iter();
+        Self {
+            total: all.len(),
+            by_zone: by_zone.map(|(zone, names)| (zone, names.len())).collect(),
+        }
+    }
 }
 
 impl View {
@@ -163,7 +191,7 @@
             true => ASSUMED_ENTRY_COUNT,
             false => 1,
         };
-        self.member_count(|_| true).max(minimum)
+        self.entry_counts.total.max(minimum)
     }
 
     /// Returns the number of entries in a zone, which share the warm-up rate of its targets; at
@@ -173,13 +201,13 @@
             true => ASSUMED_ENTRY_COUNT_IN_ZONE,
             false => 1,
         };
-        self.member_count(|entry| &*entry.zone == zone).max(minimum)
+        let count = self.entry_counts.by_zone.get(zone);
+        count.copied().unwrap_or(0).max(minimum)
     }
 
-    /// Returns the number of entries that the matching registrations stand for.
-    fn member_count(&self, matches: impl Fn(&Entry) -> bool) -> usize {
-        let registered = self.entries().filter(|entry| matches(entry));
-        registered.map(|entry| entry.members as usize).sum()
+    /// Returns true if the entry is registered, or named as a member by one that is.
+    pub fn counts_entry(&self, name: &EntryName) -> bool {
+        self.entries.contains_key(name) || self.entries().any(|entry| entry.members.contains(name))
     }
 
     /// Records that the store responds again after an outage. Targets whose registration is removed
@@ -263,10 +291,14 @@
             }
             (RecordKey::Entry(name), Some(RecordValue::Entry(entry))) => {
                 self.entries.insert(name.clone(), (entry, revision));
+                self.entry_counts = EntryCounts::new(self.entries());
                 Effect::Entry(name, true)
             }
             (RecordKey::Entry(name), None) => match self.entries.remove(&name) {
-                Some(_) => Effect::Entry(name, false),
+                Some(_) => {
+                    self.entry_counts = EntryCounts::new(self.entries());
+                    Effect::Entry(name, false)
+                }
                 None => Effect::None,
             },
             (RecordKey::Entry(_), Some(value)) => invalid(value),
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -94,7 +94,7 @@
         region: region.into(),
         addr: ([127, 0, 0, 1], 7000).into(),
         capacity,
-        members: 1,
+        members: Vec::new(),
     }
 }
 
--- a/control/tests/membership.rs
+++ b/control/tests/membership.rs
@@ -4,8 +4,8 @@
 mod common;
 
 use common::{entry, entry_registered, ms};
-use lacewingmoor_control::membership::{Follower, Followers, registration_delay, should_publish};
-use lacewingmoor_control::model::Entry;
+use lacewingmoor_control::membership::{Follower, Followers, registration_delay};
+use lacewingmoor_control::model::{Entry, EntryName};
 use lacewingmoor_control::view::View;
 use rstest::rstest;
 
@@ -21,8 +21,9 @@
 fn view(registered: &[(&str, &str, u32)]) -> View {
     let mut view = View::default();
     for (i, (name, zone, members)) in registered.iter().enumerate() {
+        let members = 1..*members;
         let entry = Entry {
-            members: *members,
+            members: members.map(|i| format!("{name}-leaf-{i}").into()).collect(),
             ..entry(name, zone, "north", 10)
         };
         view.apply(ms(0), entry_registered(entry, i as u64 + 1));
@@ -98,47 +99,88 @@
     );
 }
 
+fn names(names: &[&str]) -> Vec<EntryName> {
+    names.iter().map(|name| (*name).into()).collect()
+}
+
 #[test]
-fn lost_followers_count_until_another_entry_may_count_them() {
+fn lost_followers_stay_members_until_another_entry_may_name_them() {
     let view = view(&[("n1", "north-a", 1), ("n9", "north-b", 1)]);
+    let members =
+        |followers: &mut Followers, at| followers.members(ms(at), &view, &"north-a".into());
     let mut followers = Followers::default();
     for name in ["n2", "n3", "n9"] {
         followers.connect(follower(name, "north-a", 10));
     }
-    assert_eq!(followers.member_count(ms(0), &view), 3, "n9 is registered");
+    followers.connect(follower("y1", "north-b", 10));
+    let both = names(&["n2", "n3"]);
+    assert_eq!(
+        members(&mut followers, 0),
+        both,
+        "n9 is registered, y1 in another zone"
+    );
     // n2 connects again before its first connection is noticed to be dead.
     followers.connect(follower("n2", "north-a", 10));
     followers.disconnect(ms(1000), &"n2".into());
     followers.disconnect(ms(1000), &"n3".into());
-    assert_eq!(followers.member_count(ms(20_000), &view), 3);
-    assert_eq!(followers.member_count(ms(25_000), &view), 2);
+    assert_eq!(members(&mut followers, 20_000), both);
+    assert_eq!(members(&mut followers, 25_000), names(&["n2"]));
 }
 
 /// Load pattern: all entries restart. The source of a zone has no followers yet, although the same
 /// entries as before use the shared budgets.
 #[test]
-fn count_of_the_previous_process_applies_until_its_followers_are_back() {
-    let view = view(&[("n1", "north-a", 30)]);
+fn members_of_the_previous_process_stay_until_they_have_found_a_source() {
+    let view = view(&[("n1", "north-a", 3)]);
     let mut followers = Followers::default();
-    followers.inherit(ms(100), 30);
+    let members =
+        |followers: &mut Followers, at| followers.members(ms(at), &view, &"north-a".into());
+    let published = names(&["n2", "n3"]);
+    followers.inherit(ms(100), &published, &"north-a".into());
     followers.connect(follower("n2", "north-a", 10));
-    assert_eq!(followers.member_count(ms(5000), &view), 30);
-    assert_eq!(followers.member_count(ms(30_000), &view), 2);
+    assert_eq!(members(&mut followers, 5000), published);
+    assert_eq!(members(&mut followers, 30_000), names(&["n2"]));
+}
+
+struct PublishCase {
+    followers: &'static [&'static str],
+    published: &'static [&'static str],
+    publish: bool,
 }
 
 #[rstest]
-#[case::grown(10, 11, 2000, true)]
-#[case::grown_again_at_once(10, 11, 1000, false)]
-#[case::unchanged(10, 10, 9000, false)]
-#[case::slightly_lower(10, 9, 9000, false)]
-#[case::much_lower(10, 5, 9000, true)]
-fn count_is_published_when_it_is_too_low_or_far_too_high(
-    #[case] published: u32,
-    #[case] current: u32,
-    #[case] since_ms: u64,
-    #[case] publish: bool,
-) {
-    assert_eq!(should_publish(published, current, ms(since_ms)), publish);
+#[case::uncounted(PublishCase { followers: &["n2"], published: &[], publish: true })]
+#[case::counted_by_another(PublishCase { followers: &["x1-leaf-1"], published: &[], publish: false })]
+#[case::some_have_left(PublishCase { followers: &[], published: &["a", "b", "c"], publish: false })]
+#[case::many_have_left(PublishCase { followers: &[], published: &["a", "b", "c", "d", "e"], publish: true })]
+fn members_are_published_if_one_is_uncounted_or_many_have_left(#[case] case: PublishCase) {
+    let view = view(&[("n1", "north-a", 1), ("x1", "north-b", 2)]);
+    let mut followers = Followers::default();
+    for name in case.followers {
+        followers.connect(follower(name, "north-a", 10));
+    }
+    let published = names(case.published);
+    assert_eq!(
+        followers.should_publish(ms(0), &view, &"north-a".into(), &published),
+        case.publish
+    );
+}
+
+/// Load pattern: the store is unavailable for seconds, and leaf entries go from source to source. Each
+/// source counted all that had followed it, and shared budgets were cut to a third (trouble-3 of the
+/// Cobbleridge site).
+#[test]
+fn entry_that_several_sources_name_as_a_member_counts_once() {
+    let mut view = View::default();
+    for (i, name) in ["n1", "n2", "n3"].into_iter().enumerate() {
+        let entry = Entry {
+            members: names(&["leaf-1", "leaf-2"]),
+            ..entry(name, "north-a", "north", 10)
+        };
+        view.apply(ms(0), entry_registered(entry, i as u64 + 1));
+    }
+    assert_eq!(view.entry_count(), 5);
+    assert_eq!(view.entry_count_in_zone("north-a"), 5);
 }
 
 #[test]
--- a/entry/src/registration.rs
+++ b/entry/src/registration.rs
@@ -4,9 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lacewingmoor_control::Timestamp;
-use lacewingmoor_control::membership;
-use lacewingmoor_control::model::{Entry, RecordValue};
+use lacewingmoor_control::model::{Entry, EntryName, RecordValue};
 use lacewingmoor_control::shutdown::Phase;
 use lacewingmoor_platform::registry;
 use lacewingmoor_platform::store::{self, Consistency, LeaseId};
@@ -21,8 +19,8 @@
 /// Interval at which the lease is renewed. Two renewals may fail before the lease expires.
 const RENEW_INTERVAL: Duration = Duration::from_millis(7500);
 
-/// Interval at which the count of members is checked.
-const COUNT_CHECK_INTERVAL: Duration = Duration::from_millis(500);
+/// Interval at which the list of members is checked, and shortest time between two writes of it.
+const MEMBERS_CHECK_INTERVAL: Duration = Duration::from_millis(1500);
 
 /// Pause before this entry registers again after its lease has ended.
 const REGISTER_AGAIN_DELAY: Duration = Duration::from_millis(250);
@@ -30,13 +28,11 @@
 /// Registration of this entry in the store.
 struct Registration {
     lease: LeaseId,
-    /// Count of members in the store.
-    members: u32,
-    published_at: Timestamp,
+    /// Members named in the store.
+    members: Vec<EntryName>,
 }
 
-/// Waits until this entry has to register. Then keeps it registered, with the current count of
-/// members, until the shutdown begins. The registration is not removed then but expires with its
+/// Waits until this entry has to register. Then keeps it registered, with its current members, until the shutdown begins. The registration is not removed then but expires with its
 /// lease, so that a process that restarts soon can take it over.
 pub async fn run(shared: Rc<SharedState>) {
     tokio::select! {
@@ -67,15 +63,14 @@
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            () = publish_counts(&shared, &mut client, &mut registration) => {}
+            () = publish_members(&shared, &mut client, &mut registration) => {}
             () = shared.wait_for_phase(Phase::Leaving) => {}
         }
     }
 }
 
-/// Publishes the count of members whenever it has changed enough. Returns when the registration is
-/// missing.
-async fn publish_counts(
+/// Publishes the members whenever they have changed enough. Returns when the registration is missing.
+async fn publish_members(
     shared: &SharedState,
     client: &mut Client,
     registration: &mut Option<Registration>,
@@ -84,18 +79,19 @@
         let Some(current) = registration else {
             return std::future::pending().await;
         };
-        tokio::time::sleep(COUNT_CHECK_INTERVAL).await;
-        let now = shared.now();
-        let members = member_count(shared);
-        let since_published = now.saturating_sub(current.published_at);
-        if !membership::should_publish(current.members, members, since_published) {
+        tokio::time::sleep(MEMBERS_CHECK_INTERVAL).await;
+        let is_due = {
+            let view = shared.view.borrow();
+            let mut followers = shared.followers.borrow_mut();
+            followers.should_publish(shared.now(), &view, &shared.locality.zone, &current.members)
+        };
+        if !is_due {
             continue;
         }
-        // A failed attempt is repeated after the same interval as a successful one.
-        current.published_at = now;
-        match write(shared, client, current.lease, members).await {
+        let members = members(shared);
+        match write(shared, client, current.lease, &members).await {
             Ok(()) => {
-                info!(shared.log, "members_published"; "members" => members);
+                info!(shared.log, "members_published"; "members" => members.len());
                 current.members = members;
             }
             Err(error) => {
@@ -109,10 +105,10 @@
     }
 }
 
-fn member_count(shared: &SharedState) -> u32 {
+fn members(shared: &SharedState) -> Vec<EntryName> {
     let view = shared.view.borrow();
     let mut followers = shared.followers.borrow_mut();
-    followers.member_count(shared.now(), &view)
+    followers.members(shared.now(), &view, &shared.locality.zone)
 }
 
 /// Takes over the registration of an earlier process with the same entry name, or creates one.
@@ -125,7 +121,8 @@
         match renew(client, registration.lease).await {
             Ok(()) => {
                 let mut followers = shared.followers.borrow_mut();
-                followers.inherit(shared.now(), registration.members);
+                let zone = &shared.locality.zone;
+                followers.inherit(shared.now(), &registration.members, zone);
                 return Ok(registration);
             }
             Err(error) if is_missing(&error) => {}
@@ -154,14 +151,13 @@
         _ => return Ok(None),
     };
     let own = Entry {
-        members: entry.members,
+        members: entry.members.clone(),
         ..shared.own_entry.clone()
     };
     let lease = leased.lease.filter(|_| own == *entry);
     Ok(lease.map(|lease| Registration {
         lease,
-        members: entry.members,
-        published_at: shared.now(),
+        members: entry.members.clone(),
     }))
 }
 
@@ -173,25 +169,21 @@
     let request = store::create_lease(&client.host(), LEASE_TTL);
     let (status, body) = client.call("lease", request, Duration::ZERO).await?;
     let lease = store::decode_lease(status, &body)?;
-    let members = member_count(shared);
-    write(shared, client, lease, members).await?;
-    Ok(Registration {
-        lease,
-        members,
-        published_at: shared.now(),
-    })
+    let members = members(shared);
+    write(shared, client, lease, &members).await?;
+    Ok(Registration { lease, members })
 }
 
-/// Writes the registration with a count of members.
+/// Writes the registration with a list of members.
 async fn write(
     shared: &SharedState,
     client: &mut Client,
     lease: LeaseId,
-    members: u32,
+    members: &[EntryName],
 ) -> Result<(), Error> {
     let key = registry::entry_key(&shared.settings.entry_name);
     let entry = Entry {
-        members,
+        members: members.to_vec(),
         ..shared.own_entry.clone()
     };
     let value = registry::encode_entry(&entry);
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -124,7 +124,7 @@
                 region: locality.region.clone(),
                 addr: settings.peer_addr,
                 capacity: settings.capacity,
-                members: 1,
+                members: Vec::new(),
             },
             locality,
             log,
