Withstand malformed frames and stray or endless bytes of targets

A frame of 13 bytes between entries that claims to contain a string of 2^62 bytes ended the process: the decoder allocated the claimed length. Messages are now decoded with the limit of a frame.

A target that sends a second copy of a response, late, on a connection in use again: the copy was taken as the response to the probe, and the response to the probe as that to the request. No caller got another's response, but a booking that had run was answered with 502. A probe whose response names a request now ends the use of its connection.

A signed body without end was forwarded for as long as its caller stayed connected. It is now cut off one second after the timeout that the caller stated.

Ruled out: cutting a body off at the route's timeout, which covers the time until the head; a limit for callers that state no timeout.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -68,6 +68,9 @@
     pub hard_deadline: Timestamp,
     /// Time at which the caller's timeout expires.
     pub caller_deadline: Timestamp,
+    /// Time at which a body that is still being forwarded is cut off; `None` if the caller states no
+    /// timeout.
+    pub body_ends_by: Option<Timestamp>,
 }
 
 /// Counts a request as in flight at a target until dropped.
@@ -241,7 +244,13 @@
                 ResponseBody::Buffered(Some(buffered)),
             ));
         }
-        let body = ResponseBody::streamed(shared.clone(), buffered, body, connection);
+        let body = ResponseBody::streamed(
+            shared.clone(),
+            buffered,
+            body,
+            connection,
+            self.body_ends_by,
+        );
         Ok(Response::from_parts(head, body))
     }
 
--- a/entry/src/connection_state.rs
+++ b/entry/src/connection_state.rs
@@ -16,7 +16,7 @@
 use tokio::net::TcpStream;
 use tokio::time::Sleep;
 
-use crate::response::ResponseBody;
+use crate::response::{BodyError, ResponseBody};
 use crate::shared_state::SharedState;
 
 /// Idle timeout while no bundle is active.
@@ -93,12 +93,12 @@
 
 impl Body for TrackedBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         Pin::new(&mut self.get_mut().body).poll_frame(cx)
     }
 
--- a/entry/src/peer_protocol.rs
+++ b/entry/src/peer_protocol.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use lacewingmoor_control::model::Revision;
 use lacewingmoor_control::replica::Update;
 use lacewingmoor_control::source::SourceHealth;
@@ -15,6 +16,11 @@
 /// Maximum length of a frame. An update may contain a bundle of up to 1 MB and all registrations.
 const FRAME_BYTES_MAX: u32 = 8 << 20;
 
+/// Encoding of messages. Without the limit, a frame of a few bytes that claims to contain a longer
+/// string than there is memory would abort the process.
+const ENCODING: Configuration<LittleEndian, Varint, Limit<{ FRAME_BYTES_MAX as usize }>> =
+    bincode::config::standard().with_limit::<{ FRAME_BYTES_MAX as usize }>();
+
 /// First and only message of a follower.
 #[wire]
 pub struct Subscribe {
@@ -93,8 +99,8 @@
     stream: &mut (impl AsyncWrite + Unpin),
     message: &T,
 ) -> Result<(), Error> {
-    let bytes = bincode::encode_to_vec(message, bincode::config::standard())
-        .map_err(|e| Error::Malformed(e.to_string()))?;
+    let bytes =
+        bincode::encode_to_vec(message, ENCODING).map_err(|e| Error::Malformed(e.to_string()))?;
     let mut frame = Vec::with_capacity(4 + bytes.len());
     frame.extend_from_slice(&(bytes.len() as u32).to_be_bytes());
     frame.extend_from_slice(&bytes);
@@ -123,7 +129,7 @@
         .read_exact(&mut bytes)
         .await
         .map_err(|e| Error::Io("read", e))?;
-    let (message, _) = bincode::decode_from_slice(&bytes, bincode::config::standard())
+    let (message, _) = bincode::decode_from_slice(&bytes, ENCODING)
         .map_err(|e| Error::Malformed(e.to_string()))?;
     Ok(message)
 }
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -44,6 +44,8 @@
 enum ProbeError {
     /// The target could not be reached or its response could not be read, with the cause.
     Unreachable(String),
+    /// The connection cannot be used, which says nothing about the target.
+    Unusable(&'static str),
     /// The target is full and rejected the probe.
     Full,
     /// Another target responded at the address.
@@ -108,6 +110,7 @@
     let cause = match error {
         // A full target is healthy, so it is not ejected; the next probe may find a free slot.
         ProbeError::Full => "full".into(),
+        ProbeError::Unusable(cause) => cause.into(),
         ProbeError::Unreachable(cause) => {
             shared.with_target_stats(&target.id, |stats| stats.eject(now));
             cause
@@ -146,6 +149,12 @@
         .await
         .map_err(|e| ProbeError::Unreachable(e.to_string()))?;
     let dialect = shared.settings.dialect;
+    if dialect.request_id(&head.headers).is_some() {
+        // Fault: a second copy of an earlier response arrives late. The response to the probe would
+        // follow as that to the request.
+        let cause = "response to an earlier request";
+        return Err(ProbeError::Unusable(cause));
+    }
     if dialect
         .target_id(&head.headers)
         .is_some_and(|id| id != &*target.id)
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -27,6 +27,10 @@
 /// Timeout of a caller that states none.
 const CALLER_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
 
+/// Time after the caller's timeout at which a body that is still being forwarded is cut off. A caller
+/// closes its connection before.
+const BODY_CUT_DELAY: Duration = Duration::from_secs(1);
+
 /// Longest time that a request waits for the first bundle of the process.
 const BUNDLE_WAIT: Duration = Duration::from_millis(250);
 
@@ -140,12 +144,8 @@
         self.route = Some((bundle.clone(), route_id));
         let route = &bundle.routes[route_id];
         let service = self.select_service(&bundle, route)?;
-        let caller_timeout = self
-            .shared
-            .settings
-            .dialect
-            .caller_timeout(&head.headers)
-            .unwrap_or(CALLER_TIMEOUT_DEFAULT);
+        let stated_timeout = self.shared.settings.dialect.caller_timeout(&head.headers);
+        let caller_timeout = stated_timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
         let body = read_body(body, bundle.limits.body_bytes_max).await?;
         let mut head = head.clone();
         prepare_for_target(&mut head);
@@ -158,6 +158,7 @@
             service: &service.name,
             hard_deadline,
             caller_deadline: self.arrived_at + caller_timeout,
+            body_ends_by: stated_timeout.map(|timeout| self.arrived_at + timeout + BODY_CUT_DELAY),
         };
         let search = TargetSearch {
             bundle: &bundle,
--- a/entry/src/response.rs
+++ b/entry/src/response.rs
@@ -1,5 +1,6 @@
 //! Responses to callers: those forwarded from targets and those that the entry generates itself.
 
+use std::future::Future as _;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll, ready};
@@ -9,7 +10,10 @@
 use http::header::{CONNECTION, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use http::{Response, StatusCode};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
+use lacewingmoor_control::Timestamp;
+use quick_error::quick_error;
 use slog::warn;
+use tokio::time::Sleep;
 
 use crate::connection::Connection;
 use crate::shared_state::SharedState;
@@ -49,6 +53,23 @@
     }
 }
 
+quick_error! {
+    /// Why a response was cut off.
+    #[derive(Debug)]
+    pub enum BodyError {
+        /// The connection to the target failed, or its bytes are no valid body.
+        Target(cause: hyper::Error) {
+            display("target: {cause}")
+            source(cause)
+            from()
+        }
+        /// The body did not end by the timeout of its caller.
+        Timeout {
+            display("body has not ended by the caller's timeout")
+        }
+    }
+}
+
 /// Body of a response to a caller.
 pub enum ResponseBody {
     /// Complete body; `None` once it has been sent.
@@ -62,22 +83,29 @@
     buffered: Option<Bytes>,
     rest: Incoming,
     connection: Option<Connection>,
+    /// Elapses when the body is cut off; `None` if the caller states no timeout.
+    timeout: Option<Pin<Box<Sleep>>>,
     shared: Rc<SharedState>,
 }
 
 impl ResponseBody {
     /// Forwards the `buffered` start and then the `rest` from `connection`, which goes back to the
-    /// pool at the end of the body.
+    /// pool at the end of the body. The body is cut off at `ends_by`.
+    ///
+    /// Fault: a target sends bytes without end, and the caller does not close its connection.
     pub fn streamed(
         shared: Rc<SharedState>,
         buffered: Bytes,
         rest: Incoming,
         connection: Connection,
+        ends_by: Option<Timestamp>,
     ) -> Self {
+        let sleep = |at| Box::pin(tokio::time::sleep_until(shared.instant(at)));
         Self::Streamed(StreamedBody {
             buffered: Some(buffered),
             rest,
             connection: Some(connection),
+            timeout: ends_by.map(sleep),
             shared,
         })
     }
@@ -85,12 +113,12 @@
 
 impl Body for ResponseBody {
     type Data = Bytes;
-    type Error = hyper::Error;
+    type Error = BodyError;
 
     fn poll_frame(
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         match self.get_mut() {
             Self::Buffered(bytes) => Poll::Ready(bytes.take().map(|b| Ok(Frame::data(b)))),
             Self::Streamed(body) => body.poll(cx),
@@ -115,11 +143,16 @@
 }
 
 impl StreamedBody {
-    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, hyper::Error>>> {
+    fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
-        let frame = ready!(Pin::new(&mut self.rest).poll_frame(cx));
+        let timeout = self.timeout.as_mut();
+        let frame = match timeout.is_some_and(|sleep| sleep.as_mut().poll(cx).is_ready()) {
+            true => Some(Err(BodyError::Timeout)),
+            false => ready!(Pin::new(&mut self.rest).poll_frame(cx))
+                .map(|frame| frame.map_err(BodyError::from)),
+        };
         match &frame {
             None => {
                 if let Some(connection) = self.connection.take() {
--- a/entry/tests/peer_protocol.rs
+++ b/entry/tests/peer_protocol.rs
@@ -110,6 +110,8 @@
         &b"GET / HTTP/1.1\r\n\r\n"[..],
         // A frame of valid length whose content cannot be decoded.
         &[0, 0, 0, 3, 255, 255, 255],
+        // A subscription whose name claims to have 2^62 bytes.
+        &[0, 0, 0, 9, 253, 0, 0, 0, 0, 0, 0, 0, 64],
         // The greatest length that the prefix can express.
         &[255; 8],
     ] {
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -115,6 +115,11 @@
         Ok(())
     }
 
+    /// Returns the id of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Sends a signal to the process.
     pub fn signal(&self, signal: i32) {
         let pid = self.child.id() as libc::pid_t;
--- a/standin/src/lib.rs
+++ b/standin/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod entry;
 pub mod fleet;
 pub mod http_server;
+pub mod raw_target;
 pub mod relay;
 pub mod store;
 pub mod target;
