Probe further targets of the own region before those of other regions

More than half of all targets are full or in a slow episode at any moment, so many requests find no preferred target among the first three. Their second round went to all regions: it takes 24 ms and more, its probes open connections, and the request and its response cross the paid links between regions.

Change: the second round probes three other targets of the own region, the third one targets of all regions. The scope of each round is decided in control/src/admission.rs.

--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -12,7 +12,7 @@
 use lacewingmoor_derive::value;
 
 use crate::Timestamp;
-use crate::selection::Estimate;
+use crate::selection::{Estimate, Scope};
 
 /// Share of the caller's remaining time after which a request may be retried that got no target in
 /// time, or that targets rejected while others are queued. Callers honour a retry-after of up to a
@@ -29,6 +29,22 @@
 /// Weight of the newest gap in the mean gap between dequeues.
 const GAP_SMOOTHING: f64 = 0.1;
 
+/// Rounds of probes before a request is queued.
+const ROUNDS_MAX: u32 = 3;
+
+/// Returns the scope of a round of probes for a new request, counted from 1.
+///
+/// Load pattern: half of the targets are full or in a slow episode at any moment, so one in eight
+/// requests finds no preferred target in its first round. Other targets of the own region are probed
+/// next: a probe and a request to another region take several times as long, and most of them open a
+/// connection.
+pub fn scope_of_round(round: u32) -> Scope {
+    match round < ROUNDS_MAX {
+        true => Scope::Region,
+        false => Scope::AllRegions,
+    }
+}
+
 /// A request that needs a target.
 #[value]
 pub struct PendingRequest {
@@ -49,8 +65,8 @@
 pub enum AdmissionDecision {
     /// Send it to the target with the best estimate.
     Send,
-    /// Probe targets of all regions.
-    ProbeAllRegions,
+    /// Probe further targets, in the scope of the next round.
+    ProbeMore,
     /// Queue it until a target has capacity.
     Queue,
 }
@@ -64,8 +80,7 @@
         rounds: u32,
         best: Option<&Estimate>,
     ) -> AdmissionDecision {
-        // The first round probes the entry's own region, the second all regions.
-        let last_round = rounds > 1;
+        let last_round = rounds >= ROUNDS_MAX;
         match best {
             // A new request takes a preferred target at once, even if it is late. On other targets
             // it leaves the reserve free if it is late, as queued requests do.
@@ -77,11 +92,11 @@
                 if on_time || deadline_passed || last_round {
                     AdmissionDecision::Send
                 } else {
-                    AdmissionDecision::ProbeAllRegions
+                    AdmissionDecision::ProbeMore
                 }
             }
             _ if last_round => AdmissionDecision::Queue,
-            _ => AdmissionDecision::ProbeAllRegions,
+            _ => AdmissionDecision::ProbeMore,
         }
     }
 
--- a/control/tests/replay.rs
+++ b/control/tests/replay.rs
@@ -12,9 +12,9 @@
 
 use common::ms;
 use lacewingmoor_control::admission::{
-    AdmissionDecision, DequeueRate, PendingRequest, Rank, select_queued,
+    AdmissionDecision, DequeueRate, PendingRequest, Rank, scope_of_round, select_queued,
 };
-use lacewingmoor_control::selection::{Estimate, estimate, full_speed_slots};
+use lacewingmoor_control::selection::{Estimate, Scope, estimate, full_speed_slots};
 use lacewingmoor_control::stats::{LoadReport, TargetStats};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -233,7 +233,7 @@
                 self.targets[i].queue.push_back(arrived);
                 true
             }
-            _ if request.decide(now, 2, Some(&best)) == AdmissionDecision::Send => {
+            _ if request.decide(now, 3, Some(&best)) == AdmissionDecision::Send => {
                 self.start(now, i, arrived);
                 true
             }
@@ -385,6 +385,66 @@
     );
 }
 
+/// Load pattern: more than half of all targets are full or in a slow episode at any moment, in every
+/// region. Requests that found no target among the first three were sent to other regions.
+#[test]
+fn second_round_in_the_own_region_finds_targets_sooner_than_one_in_all_regions() {
+    const PREFERRED_SHARE: f64 = 0.45;
+    const REMOTE_ROUND_TRIP: Duration = Duration::from_millis(24);
+    let run = |scope: &dyn Fn(u32) -> Scope| {
+        let mut rng = StdRng::seed_from_u64(7);
+        let (mut remote, mut on_time) = (0, 0);
+        for _ in 0..2000 {
+            let mut now = ms(0);
+            let request = PendingRequest {
+                soft_deadline: SERVICE_TIME + ms(20),
+                hard_deadline: TIMEOUT,
+                priority: 1,
+                large_response: false,
+            };
+            for round in 1..=3 {
+                // Two thirds of the targets are in other regions.
+                let is_remote = match scope(round) {
+                    Scope::Region => false,
+                    Scope::AllRegions => rng.random::<f64>() < 0.67,
+                };
+                let round_trip = if is_remote { REMOTE_ROUND_TRIP } else { ms(2) };
+                now += round_trip;
+                let is_preferred = (0..3).any(|_| rng.random::<f64>() < PREFERRED_SHARE);
+                let load = LoadReport {
+                    running: if is_preferred { 0 } else { 4 },
+                    queued: 0,
+                    slots: 4,
+                    slowdown: 1.0,
+                };
+                let health = TargetStats::default().health(now);
+                let best = estimate(load, round_trip, SERVICE_TIME, health);
+                if request.decide(now, round, Some(&best)) == AdmissionDecision::Send {
+                    remote += u32::from(is_remote);
+                    let end = now + best.expected_latency;
+                    on_time += u32::from(end <= request.soft_deadline);
+                    break;
+                }
+            }
+        }
+        (remote, on_time)
+    };
+    let at_once_all_regions = |round| match round {
+        1 => Scope::Region,
+        _ => Scope::AllRegions,
+    };
+    let (remote_before, on_time_before) = run(&at_once_all_regions);
+    let (remote, on_time) = run(&scope_of_round);
+    assert!(
+        remote * 3 < remote_before,
+        "{remote_before} of 2000 requests sent to other regions, {remote} with a second round"
+    );
+    assert!(
+        on_time > on_time_before + 100,
+        "{on_time_before} of 2000 requests on time, {on_time} with a second round"
+    );
+}
+
 #[test]
 fn queueing_at_the_entry_loses_nothing_under_light_load() {
     let pattern = Pattern {
--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -1,12 +1,12 @@
-//! Search for the target of a request: probes a few targets, then targets of all regions, and
-//! queues the request if none has capacity.
+//! Search for the target of a request: probes a few targets of the region, then others of it, then
+//! targets of all regions, and queues the request if none has capacity.
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use lacewingmoor_bundle::{Bundle, Route, Service};
 use lacewingmoor_control::Timestamp;
-use lacewingmoor_control::admission::{AdmissionDecision, PendingRequest};
+use lacewingmoor_control::admission::{AdmissionDecision, PendingRequest, scope_of_round};
 use lacewingmoor_control::model::{Target, TargetId};
 use lacewingmoor_control::selection::{Estimate, Scope, Selector, estimate, still_has_capacity};
 use lacewingmoor_control::stats::LoadReport;
@@ -92,20 +92,22 @@
     pub async fn find(&mut self, shared: &Rc<SharedState>) -> Result<Candidate, Duration> {
         let mut best: Option<Candidate> = None;
         let mut search_rounds = 0;
+        // Targets that this search has probed, besides those that the request was sent to.
+        let mut seen = self.tried.clone();
         loop {
             search_rounds += 1;
             self.rounds += 1;
-            let scope = match search_rounds {
-                1 => Scope::Region,
-                _ => Scope::AllRegions,
+            let prober = TargetProber {
+                tried: &seen,
+                ..self.prober(shared)
             };
-            best = self
-                .prober(shared)
-                .probe(scope, PROBES_PER_ROUND, best)
-                .await;
+            let targets = prober.select_targets(scope_of_round(search_rounds), PROBES_PER_ROUND);
+            let ids: Vec<TargetId> = targets.iter().map(|target| target.id.clone()).collect();
+            best = prober.probe(targets, best).await;
+            seen.extend(ids);
             let estimate = best.as_ref().map(|candidate| &candidate.estimate);
             match self.pending.decide(shared.now(), search_rounds, estimate) {
-                AdmissionDecision::ProbeAllRegions => continue,
+                AdmissionDecision::ProbeMore => continue,
                 AdmissionDecision::Send => {
                     if let Some(candidate) =
                         best.take_if(|best| self.prober(shared).try_reserve(best))
@@ -126,10 +128,10 @@
     /// preferred.
     pub async fn find_preferred(&mut self, shared: &Rc<SharedState>) -> Option<Candidate> {
         self.rounds += 1;
-        let candidate = self
+        let targets = self
             .prober(shared)
-            .probe(Scope::Region, PROBES_PER_ROUND, None)
-            .await?;
+            .select_targets(Scope::Region, PROBES_PER_ROUND);
+        let candidate = self.prober(shared).probe(targets, None).await?;
         if candidate.estimate.preferred && self.prober(shared).try_reserve(&candidate) {
             return Some(candidate);
         }
@@ -229,15 +231,13 @@
         })
     }
 
-    /// Selects and probes up to `count` targets and returns the best candidate of these and `best`.
-    /// Goes on without a probe if the service does not report its load or the budget is used up.
+    /// Probes `targets` and returns the best candidate of these and `best`. Goes on without a probe if
+    /// the service does not report its load or the budget is used up.
     async fn probe(
         &self,
-        scope: Scope,
-        count: usize,
+        mut targets: Vec<Rc<Target>>,
         mut best: Option<Candidate>,
     ) -> Option<Candidate> {
-        let mut targets = self.select_targets(scope, count);
         if targets.is_empty() {
             return best;
         }
