End the watch of a leaf entry when it has to register

Cause: a test failed once beside other work: three of four leaf entries registered after their sources were killed. The random delay before they do so was looked at only when a watch returned. Watches that start together end together, so all delays had passed by then.

Change: the wait of a watch ends at the time of the registration.

--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -251,6 +251,9 @@
         }
         if registers {
             shared.request_registration();
+        } else if !shared.is_registered() {
+            // Otherwise leaf entries whose watches end at the same time would register together.
+            wait = wait.min(register_at.saturating_sub(shared.now()));
         }
         if is_starting {
             is_starting = false;
