Keep the connections of targets that were probed but not selected

Such a target is offered to queued requests. While its service had no queue yet, the offer returned as if it had been accepted, and the connection was dropped.

Change: the offer returns the target then, and its connection goes back to the pool.

--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -77,7 +77,9 @@
         loop {
             let queued = {
                 let mut by_service = self.by_service.borrow_mut();
-                let queue = by_service.get_mut(service)?;
+                let Some(queue) = by_service.get_mut(service) else {
+                    return Some(candidate);
+                };
                 queue.requests.retain(|queued| !queued.sender.is_closed());
                 let now = shared.now();
                 let expected = candidate.estimate.expected_latency;
--- a/entry/tests/requests.rs
+++ b/entry/tests/requests.rs
@@ -9,7 +9,7 @@
 use common::{expect_response, fleet, lanes, read, runs, until, write};
 use http::StatusCode;
 use lacewingmoor_standin::caller::{CallerRequest, send_request};
-use lacewingmoor_standin::fleet::{ServiceSpec, bundle};
+use lacewingmoor_standin::fleet::{ServiceSpec, bundle, get};
 use lacewingmoor_standin::target::TargetFault;
 use rstest::rstest;
 
@@ -395,3 +395,24 @@
     let allowed = 60 * seconds * fleet.targets.len() as u64;
     assert!(probes <= allowed, "{probes} probes, {allowed} allowed");
 }
+
+/// Guards against connections that are closed after a probe: each request opened two, because targets that
+/// were probed but not selected were taken to be assigned to a queued request.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn connections_of_probes_are_used_again() {
+    let fleet = fleet(&lanes(), 1).await;
+    let entry = &fleet.entries[0];
+    for i in 0..30 {
+        let response = expect_response(entry, &read(&format!("r-{i}"))).await;
+        assert_eq!(response.status, StatusCode::OK);
+    }
+    let (_, metrics) = get(entry.metrics_addr, "/metrics").await.expect("metrics");
+    let opened = metrics
+        .lines()
+        .find_map(|line| line.strip_prefix("lacewingmoor_connections_opened_total "));
+    let opened: u64 = opened.and_then(|n| n.parse().ok()).expect("a counter");
+    assert!(
+        opened <= 2 * fleet.targets.len() as u64,
+        "{opened} connections"
+    );
+}
