Let entries without data find a source sooner after a restart of all

After all processes were killed, 563 requests were refused with "no bundle yet". Registered entries waited for data until the entry that they follow had some, level by level, and leaf entries whose sources refused connections for some milliseconds did not try them again for 4 s and the store for 1.2 s.

Change: an entry that finds itself registered at its start lists all keys at once. An entry without data tries its sources again after 150 ms, and the store after 400 ms.

Ruled out: a listing of all keys by every entry, as before (0.3 calls each).

--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -71,6 +71,13 @@
 /// before it tries the store.
 const LEAF_STORE_DELAY_SHARE: f64 = 0.4;
 
+/// The same for an entry without data, which serves no requests until it has found a source: the time
+/// in which other entries that start at the same time get theirs.
+const LEAF_STORE_DELAY_AT_START: Duration = Duration::from_millis(400);
+
+/// Backoff after an entry was unavailable as a source to one without data. Both may have just started.
+const STARTING_PEER_BACKOFF: Duration = Duration::from_millis(150);
+
 /// Number of higher-ranked entries that are tried in one search before the store.
 const HIGHER_RANKED_TRIES_MAX: u32 = 2;
 
@@ -96,6 +103,8 @@
 pub enum SourceFailure {
     /// It did not respond, closed the connection or cannot be reached.
     Unavailable,
+    /// The same, for an entry that has no data yet. It does not count as a try.
+    UnavailableAtStart,
     /// Its data is stale or came through this entry, or it has been searching for a source for
     /// too long.
     Stale,
@@ -141,6 +150,8 @@
 pub struct Search<'a> {
     /// Time since the source was lost.
     pub duration: Duration,
+    /// True if the entry has received data since its process started.
+    pub has_data: bool,
     /// Maximum time until a change takes effect.
     pub apply_deadline: Duration,
     /// Peer addresses of entries to follow if no other source is available.
@@ -162,6 +173,7 @@
                 STORE_BACKOFF
             }
             (_, SourceFailure::Unavailable) => PEER_BACKOFF,
+            (_, SourceFailure::UnavailableAtStart) => STARTING_PEER_BACKOFF,
             (_, SourceFailure::Stale) => STALE_PEER_BACKOFF,
         };
         self.backoff_until.insert(source.clone(), now + backoff);
@@ -169,7 +181,8 @@
             self.failed_tries = 0;
         }
         self.last_failure_at = now;
-        self.failed_tries += u32::from(*source != Source::Store);
+        let is_try = *source != Source::Store && failure != SourceFailure::UnavailableAtStart;
+        self.failed_tries += u32::from(is_try);
     }
 
     /// Selects the source that the entry `own` follows next; `None` if every source is in backoff.
@@ -182,12 +195,16 @@
         rng: &mut impl Rng,
     ) -> Option<Source> {
         self.backoff_until.retain(|_, until| *until > now);
-        let higher_ranked = match self.has_tries_left(now) {
+        let is_start_over = !search.has_data && search.duration >= LEAF_STORE_DELAY_AT_START;
+        let higher_ranked = match self.has_tries_left(now) && !is_start_over {
             true => self.higher_ranked(now, view, own),
             false => None,
         };
         let is_leaf = !is_registered(view, own) && view.entries().next().is_some();
-        let store_delay = search.apply_deadline.mul_f64(LEAF_STORE_DELAY_SHARE);
+        let store_delay = match search.has_data {
+            true => search.apply_deadline.mul_f64(LEAF_STORE_DELAY_SHARE),
+            false => LEAF_STORE_DELAY_AT_START,
+        };
         let peers_first = is_leaf && search.duration < store_delay;
         let mut any_peer = || self.any_peer(now, view, own, rng);
         higher_ranked
--- a/control/tests/source.rs
+++ b/control/tests/source.rs
@@ -50,6 +50,7 @@
 fn search(duration: Duration) -> Search<'static> {
     Search {
         duration,
+        has_data: true,
         apply_deadline: ms(2000),
         seeds: &[],
     }
@@ -198,6 +199,31 @@
     assert_eq!(later, Some(Source::Store));
 }
 
+/// Load pattern: all processes restart. The sources of a leaf entry refuse connections for some
+/// milliseconds, and a leaf entry that gave them up for seconds served no requests until it tried the
+/// store.
+#[test]
+fn leaf_entry_without_data_tries_its_sources_again_soon_and_then_the_store() {
+    let view = view();
+    let leaf = entry("leaf", "north-b", "north", 10);
+    let mut selector = SourceSelector::default();
+    let mut selected = Vec::new();
+    for at in (0..=450).step_by(50) {
+        let search = Search {
+            has_data: false,
+            ..search(ms(at))
+        };
+        let source = selector.select(ms(at), &view, &leaf, &search, &mut rng());
+        if let Some(source) = source {
+            selector.record_failure(ms(at), &source, SourceFailure::UnavailableAtStart);
+            selected.push(source);
+        }
+    }
+    let tries = selected.iter().filter(|source| **source == peer("n4"));
+    assert!(tries.count() >= 3, "{selected:?}");
+    assert!(selected.contains(&Source::Store), "{selected:?}");
+}
+
 /// The registrations of two dead entries stay for a while; a third entry that has registered since
 /// was not tried.
 #[test]
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -153,7 +153,7 @@
 async fn wait_for_data(shared: &SharedState) {
     let mut changes = shared.subscribe_changes();
     let wait = async {
-        while shared.replica.borrow().revision() == 0 {
+        while !shared.has_data() {
             // The sender lives as long as the process.
             let _ = changes.changed().await;
         }
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -264,6 +264,11 @@
         self.change_sender.subscribe()
     }
 
+    /// Returns true if this process has received data from the store or another entry.
+    pub fn has_data(&self) -> bool {
+        self.replica.borrow().revision() > 0
+    }
+
     /// Returns true if this entry is registered, according to the view.
     pub fn is_registered(&self) -> bool {
         is_registered(&self.view.borrow(), &self.own_entry)
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -107,7 +107,8 @@
             Error::Peer(peer_protocol::Error::Stale(_) | peer_protocol::Error::Circular) => {
                 SourceFailure::Stale
             }
-            _ => SourceFailure::Unavailable,
+            _ if shared.has_data() => SourceFailure::Unavailable,
+            _ => SourceFailure::UnavailableAtStart,
         };
         warn!(shared.log, "source_lost"; "source" => ?source, "cause" => %error);
         shared.record_source_loss();
@@ -121,6 +122,7 @@
 fn select_source(shared: &SharedState, selector: &mut SourceSelector) -> Option<Source> {
     let search = Search {
         duration: shared.searching(),
+        has_data: shared.has_data(),
         apply_deadline: shared.reloadable().apply_deadline,
         seeds: &shared.settings.seeds,
     };
@@ -162,6 +164,14 @@
         }
         if shared.is_registered() {
             shared.request_registration();
+            // Others follow this entry, so it does not wait for data until its own source has some.
+            match list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Stale).await {
+                Ok((confirmed_at, update)) => {
+                    apply_update(shared, update);
+                    record_confirmation(shared, confirmed_at);
+                }
+                Err(error) => warn!(shared.log, "discovery_failed"; "cause" => %error),
+            }
             return Discovery::Sources;
         }
         let view = shared.view.borrow();
