--- a/control/src/membership.rs
+++ b/control/src/membership.rs
@@ -74,7 +74,7 @@
 #[derive(Default)]
 pub struct Followers {
     by_name: Map<EntryName, FollowerState>,
-    /// The entry that should register next, and until when.
+    /// The follower that should register now, and until when.
     appointment: Option<(EntryName, Timestamp)>,
     /// Entries whose appointment timed out since all were last considered.
     passed_over: Set<EntryName>,
--- a/control/src/source.rs
+++ b/control/src/source.rs
@@ -195,8 +195,8 @@
         rng: &mut impl Rng,
     ) -> Option<Source> {
         self.backoff_until.retain(|_, until| *until > now);
-        let is_start_over = !search.has_data && search.duration >= LEAF_STORE_DELAY_AT_START;
-        let higher_ranked = match self.has_tries_left(now) && !is_start_over {
+        let is_start_delay_over = !search.has_data && search.duration >= LEAF_STORE_DELAY_AT_START;
+        let higher_ranked = match self.has_tries_left(now) && !is_start_delay_over {
             true => self.higher_ranked(now, view, own),
             false => None,
         };
