--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -153,7 +153,9 @@
 /// the registration delay, because another entry of the zone may register first.
 ///
 /// Load pattern: all entries of a fleet start at the same time. Each that listed all keys and
-/// registered would take five calls; one that finds an entry to follow takes two stale reads.
+/// registered would take five calls; one that finds an entry to follow takes two stale reads. An
+/// entry that finds itself registered lists all keys: others follow it, and would have to wait until
+/// its own source has data.
 async fn discover(shared: &Rc<SharedState>) -> Discovery {
     let mut client = Client::new(shared);
     for delay in [Duration::ZERO, shared.registration_delay] {
@@ -164,13 +166,8 @@
         }
         if shared.is_registered() {
             shared.request_registration();
-            // Others follow this entry, so it does not wait for data until its own source has some.
-            match list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Stale).await {
-                Ok((confirmed_at, update)) => {
-                    apply_update(shared, update);
-                    record_confirmation(shared, confirmed_at);
-                }
-                Err(error) => warn!(shared.log, "discovery_failed"; "cause" => %error),
+            if let Err(error) = read_all_keys(shared, &mut client).await {
+                warn!(shared.log, "discovery_failed"; "cause" => %error);
             }
             return Discovery::Sources;
         }
@@ -185,6 +182,13 @@
     Discovery::NoSource
 }
 
+async fn read_all_keys(shared: &Rc<SharedState>, client: &mut Client) -> Result<(), StoreError> {
+    let (confirmed_at, update) = list(shared, client, ALL_KEYS_PREFIX, Consistency::Stale).await?;
+    apply_update(shared, update);
+    record_confirmation(shared, confirmed_at);
+    Ok(())
+}
+
 async fn follow_peer(shared: &Rc<SharedState>, selector: &SourceSelector, name: &str) -> Error {
     let Some(peer) = shared.view.borrow().entry(name).cloned() else {
         return Error::NotRegistered;
--- a/standin/src/raw_target.rs
+++ b/standin/src/raw_target.rs
@@ -6,6 +6,7 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use lacewingmoor_platform::headers;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::{TcpListener, TcpStream};
 
@@ -103,8 +104,9 @@
         }
         if head.starts_with(&format!("GET {HEALTH_PATH} ")) {
             let response = format!(
-                "HTTP/1.1 200 OK\r\nX-Lacewingmoor-Instance-Id: {id}\r\n\
-                 X-Lacewingmoor-Server-Load: 0,0,4,100\r\nContent-Length: 0\r\n\r\n"
+                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: 0,0,4,100\r\nContent-Length: 0\r\n\r\n",
+                headers::INSTANCE_ID,
+                headers::SERVER_LOAD,
             );
             stream.write_all(response.as_bytes()).await?;
             continue;
@@ -147,5 +149,5 @@
 }
 
 fn is_id(name: &str) -> bool {
-    name.eq_ignore_ascii_case(lacewingmoor_platform::headers::ATTEMPT_ID.as_str())
+    name.eq_ignore_ascii_case(headers::ATTEMPT_ID.as_str())
 }
