Assume many entries until a new fleet has registered

Six entries started together with requests waiting. Since leaf entries are counted only once a registration names them, each entry knew of two or three for some seconds and used too large a share of the probe budget.

Change: an entry that no registration names at its start assumes 512 entries, 64 in its zone, for its first five seconds. A restarted entry is named and trusts the count at once. On the users' platform traffic starts 8 to 10 s after the machines, so only machines added later notice it.

--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -95,6 +95,8 @@
     has_read_entries: bool,
     /// True once those registrations should have been read.
     entries_overdue: bool,
+    /// True while entries may have started that no registration names yet.
+    entries_unsettled: bool,
     /// Numbers of registered entries and their members, in total and by zone.
     entry_counts: EntryCounts,
 }
@@ -172,13 +174,21 @@
         self.entries_overdue = true;
     }
 
+    /// Records whether entries may have started that no registration names yet.
+    ///
+    /// Load pattern: a new fleet starts with requests waiting. Entries know of few others until these
+    /// have registered or are named as members.
+    pub fn set_entries_unsettled(&mut self, unsettled: bool) {
+        self.entries_unsettled = unsettled;
+    }
+
     /// Returns true if the registrations of entries have been read.
     pub fn has_read_entries(&self) -> bool {
         self.has_read_entries
     }
 
     fn is_entry_count_unknown(&self) -> bool {
-        self.entries_overdue && !self.has_read_entries
+        self.entries_unsettled || (self.entries_overdue && !self.has_read_entries)
     }
 
     /// Returns the number of entries that share the retry budgets and the rate of probes, registered
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -196,3 +196,21 @@
         (2, 1)
     );
 }
+
+/// Soak seed 2: six entries started together, and knew of two or three of them while requests arrived.
+#[test]
+fn many_entries_are_assumed_while_a_new_fleet_registers() {
+    let mut view = View::default();
+    view.apply(
+        ms(0),
+        entry_registered(entry("n1", "north-a", "north", 10), 1),
+    );
+    view.mark_entries_read();
+    view.set_entries_unsettled(true);
+    assert_eq!(
+        (view.entry_count(), view.entry_count_in_zone("north-a")),
+        (512, 64)
+    );
+    view.set_entries_unsettled(false);
+    assert_eq!(view.entry_count(), 1);
+}
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -28,6 +28,11 @@
 /// From then on, the view assumes many entries for shared budgets until the registrations are read.
 const ENTRIES_READ_DEADLINE: Duration = Duration::from_millis(1500);
 
+/// Time after the start of an entry, in a fleet that did not know it, by which the registrations name
+/// every entry that started with it: the longest delay before an entry registers, an appointment, and
+/// the interval at which members are published.
+const ENTRIES_SETTLED_AFTER: Duration = Duration::from_secs(5);
+
 /// Interval of the housekeeping: connections to targets that were idle for too long are closed, the
 /// first reading of the entries' registrations is marked as overdue once its deadline has passed,
 /// targets whose registration lapsed and whose time to register again has passed are dropped, the
@@ -211,6 +216,9 @@
         if shared.now() >= ENTRIES_READ_DEADLINE {
             shared.view.borrow_mut().mark_entries_overdue();
         }
+        if shared.now() >= ENTRIES_SETTLED_AFTER {
+            shared.view.borrow_mut().set_entries_unsettled(false);
+        }
         let effects = shared.view.borrow_mut().drop_lapsed_targets(shared.now());
         view_sync::apply_effects(&shared, &effects);
         let view = shared.view.borrow();
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -164,6 +164,8 @@
             warn!(shared.log, "discovery_failed"; "cause" => %error);
             return Discovery::Failed;
         }
+        let is_counted = shared.view.borrow().counts_entry(&shared.own_entry.name);
+        shared.view.borrow_mut().set_entries_unsettled(!is_counted);
         if shared.is_registered() {
             shared.request_registration();
             if let Err(error) = read_all_keys(shared, &mut client).await {
