Assume four entries for each registration while a new fleet registers

With 512 entries assumed, a new fleet of one had no retry budget in its first five seconds, and eight tests of requests failed. They show a real loss for small deployments.

Change: each known registration counts for four entries until a new fleet has settled, instead of 512 in all.

Ruled out: 16 for each registration, with which one hedge of seven was missing (idempotent_request_is_retried_on_another_target, hang).

--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -81,6 +81,10 @@
 /// The same for a single zone.
 const ASSUMED_ENTRY_COUNT_IN_ZONE: usize = 64;
 
+/// Number of entries that each registration is assumed to stand for while a new fleet registers: those
+/// of a zone of the smallest deployments.
+const ASSUMED_MEMBERS: usize = 4;
+
 /// Current state of bundle, targets, zones and entries, with the revision of each.
 #[derive(Default)]
 pub struct View {
@@ -188,7 +192,7 @@
     }
 
     fn is_entry_count_unknown(&self) -> bool {
-        self.entries_unsettled || (self.entries_overdue && !self.has_read_entries)
+        self.entries_overdue && !self.has_read_entries
     }
 
     /// Returns the number of entries that share the retry budgets and the rate of probes, registered
@@ -197,9 +201,10 @@
     /// Fault: the store stops responding while all entries are starting. Entries that do not know
     /// of each other would each use the entire shared budget.
     pub fn entry_count(&self) -> usize {
-        let minimum = match self.is_entry_count_unknown() {
-            true => ASSUMED_ENTRY_COUNT,
-            false => 1,
+        let minimum = match (self.is_entry_count_unknown(), self.entries_unsettled) {
+            (true, _) => ASSUMED_ENTRY_COUNT,
+            (false, true) => self.entries.len().max(1) * ASSUMED_MEMBERS,
+            (false, false) => 1,
         };
         self.entry_counts.total.max(minimum)
     }
@@ -207,9 +212,11 @@
     /// Returns the number of entries in a zone, which share the warm-up rate of its targets; at
     /// least 1.
     pub fn entry_count_in_zone(&self, zone: &str) -> usize {
-        let minimum = match self.is_entry_count_unknown() {
-            true => ASSUMED_ENTRY_COUNT_IN_ZONE,
-            false => 1,
+        let in_zone = || self.entries().filter(|entry| &*entry.zone == zone).count();
+        let minimum = match (self.is_entry_count_unknown(), self.entries_unsettled) {
+            (true, _) => ASSUMED_ENTRY_COUNT_IN_ZONE,
+            (false, true) => in_zone().max(1) * ASSUMED_MEMBERS,
+            (false, false) => 1,
         };
         let count = self.entry_counts.by_zone.get(zone);
         count.copied().unwrap_or(0).max(minimum)
