Log the limits that targets name, and response fields that are not known

target_limit is logged when a target names another limit than before, target_limit_unusable when the value is no number from zero up, and unknown_field once for each response field that neither HTTP nor the dialect knows. lacewingmoor_limited_attempts_total counts the sends. The limit is recorded and decides nothing yet.

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod budget;
 pub mod membership;
 pub mod model;
+pub mod rate_limit;
 pub mod rendezvous;
 pub mod replica;
 pub mod selection;
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -17,7 +17,9 @@
 use crate::connection::Connection;
 use crate::response::{ResponseBody, remove_hop_by_hop};
 use crate::shared_state::SharedState;
+use crate::target_limit;
 use crate::target_search::{self, Candidate};
+use crate::unknown_fields::Origin;
 
 /// Response bytes that are buffered before the head is forwarded. A response that breaks off within
 /// them can still be replaced by that of another target.
@@ -112,6 +114,9 @@
         let remaining = self.hard_deadline.saturating_sub(sent_at);
         let request = self.build_request(shared, remaining, &target.id);
         shared.metrics.attempts.increment(1);
+        if shared.with_target_stats(&target.id, |stats| stats.limit().is_some()) {
+            shared.metrics.limited_attempts.increment(1);
+        }
         let response =
             tokio::time::timeout_at(shared.instant(self.hard_deadline), connection.send(request));
         let result = match response.await {
@@ -198,6 +203,9 @@
                 "answer to another request",
             ));
         }
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            target_limit::record(shared, &target.id, headers, Origin::Response);
+        }
         if dialect.is_not_run(head.status, headers) {
             let outcome = match head.status {
                 StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
--- a/entry/src/dialect.rs
+++ b/entry/src/dialect.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use http::header::{HeaderMap, HeaderName, HeaderValue};
+use http::header::{self, HeaderMap, HeaderName, HeaderValue};
 use http::{Response, StatusCode};
 use lacewingmoor_control::stats::LoadReport;
 use lacewingmoor_derive::copy_value;
@@ -18,6 +18,8 @@
 const NOT_RUN: HeaderName = HeaderName::from_static("request-not-run");
 /// Load report of a target, such as `state=warm in_flight=2 queue=0`.
 const LOAD_REPORT: HeaderName = HeaderName::from_static("load-report");
+/// Requests per second that a target takes from all entries together.
+const REQUEST_LIMIT: HeaderName = HeaderName::from_static("request-limit-per-s");
 /// Set on responses that the entry generates itself: `not-run`, or `unknown` if a target may have
 /// run the request.
 const OUTCOME: HeaderName = HeaderName::from_static("lacewingmoor-outcome");
@@ -27,6 +29,22 @@
 /// not state how long the warm-up lasts. The next probe replaces the assumption.
 const ASSUMED_WARMUP: Duration = Duration::from_secs(1);
 
+/// Response fields of HTTP that are common and mean nothing to an entry beyond HTTP itself.
+static HTTP_FIELDS: [HeaderName; 12] = [
+    header::CACHE_CONTROL,
+    header::CONNECTION,
+    header::CONTENT_LENGTH,
+    header::CONTENT_TYPE,
+    header::DATE,
+    header::ETAG,
+    header::LAST_MODIFIED,
+    header::RETRY_AFTER,
+    header::SERVER,
+    header::TRANSFER_ENCODING,
+    header::VARY,
+    HeaderName::from_static("keep-alive"),
+];
+
 /// Set of header fields that callers and targets use.
 #[copy_value]
 #[derive(Default, Deserialize)]
@@ -121,6 +139,29 @@
         }
     }
 
+    /// Returns the limit of requests per second that the target names, with the name of the field, as
+    /// text.
+    pub fn request_limit<'a>(&self, headers: &'a HeaderMap) -> Option<(HeaderName, &'a str)> {
+        match self {
+            Self::Native => {
+                let value = headers.get(&REQUEST_LIMIT)?;
+                Some((REQUEST_LIMIT, value.to_str().unwrap_or_default().trim()))
+            }
+            Self::Platform => headers::request_limit(headers),
+        }
+    }
+
+    /// Returns true if the field is one of HTTP that targets and the store commonly send, or one of
+    /// the dialect.
+    pub fn is_known(&self, name: &HeaderName) -> bool {
+        static NATIVE: [HeaderName; 3] = [NOT_RUN, LOAD_REPORT, REQUEST_LIMIT];
+        HTTP_FIELDS.contains(name)
+            || match self {
+                Self::Native => NATIVE.contains(name),
+                Self::Platform => headers::is_known(name),
+            }
+    }
+
     /// Sets the outcome and reason fields of a response that the entry generates itself.
     pub fn mark_local(&self, response: &mut Response<ResponseBody>, local: &LocalResponse) {
         match self {
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -22,5 +22,7 @@
 pub mod shared_state;
 pub mod status;
 pub mod store_client;
+pub mod target_limit;
 pub mod target_search;
+pub mod unknown_fields;
 pub mod view_sync;
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -17,6 +17,8 @@
 
 use crate::connection::Connection;
 use crate::shared_state::SharedState;
+use crate::target_limit;
+use crate::unknown_fields::Origin;
 
 /// Time after which a target that does not respond to a probe counts as unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -161,6 +163,7 @@
     {
         return Err(ProbeError::Misdirected);
     }
+    target_limit::record(shared, &target.id, &head.headers, Origin::Probe);
     let load = dialect.load(&head.headers, target.slots);
     let now = shared.now();
     shared.with_target_stats(&target.id, |stats| {
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -25,6 +25,7 @@
 use crate::metrics::RequestMetrics;
 use crate::queue::Queue;
 use crate::settings::{ReloadableSettings, Settings};
+use crate::unknown_fields::LoggedFields;
 use crate::{log, view_sync};
 
 /// Age of a view that the store has not confirmed since the process started. Represents an
@@ -89,6 +90,8 @@
     pub pool: Pool,
     /// Queued requests.
     pub queue: Queue,
+    /// Unknown header fields that have been logged.
+    pub unknown_fields: RefCell<LoggedFields>,
     /// Random number generator.
     pub rng: RefCell<StdRng>,
     /// Number of requests in flight.
@@ -139,6 +142,7 @@
             longest_caller_timeouts: RefCell::default(),
             pool: Pool::default(),
             queue: Queue::default(),
+            unknown_fields: RefCell::default(),
             rng: RefCell::new(rng),
             in_flight: Cell::new(0),
             caller_connections: Cell::new(0),
