--- /dev/null
+++ b/control/tests/shared_limits.rs
@@ -0,0 +1,187 @@
+//! Guards against limits that hold for all entries together and are exceeded because each entry only
+//! knows what it sends itself.
+
+mod common;
+
+use std::collections::VecDeque;
+use std::time::Duration;
+
+use common::{bundle, entry, entry_registered, ms, registered, target};
+use lacewingmoor_control::model::{Entry, TargetId};
+use lacewingmoor_control::rate_limit::RateLimit;
+use lacewingmoor_control::selection::{Locality, Selector};
+use lacewingmoor_control::stats::TargetStats;
+use lacewingmoor_control::view::View;
+use rand::rngs::StdRng;
+use rand::{RngExt as _, SeedableRng as _};
+use rstest::rstest;
+
+/// Zones with their regions; entries are assigned to them in turn.
+const ZONES: [(&str, &str); 6] = [
+    ("north-a", "north"),
+    ("south-a", "south"),
+    ("east-a", "east"),
+    ("north-b", "north"),
+    ("south-b", "south"),
+    ("east-b", "east"),
+];
+
+/// Time in which a target runs a request; its response names the limit.
+const SERVICE_TIME: Duration = Duration::from_millis(150);
+
+/// Time after which an entry that was told of a limit must keep to it.
+const TOLD_GRACE: Duration = Duration::from_millis(500);
+
+/// Time after the first response with a limit from which on the limit is checked.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Time after a restart in which the sends of an entry are not counted.
+const RESTART_GRACE: Duration = Duration::from_secs(3);
+
+/// Length of the windows in which sends are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Returns how many requests may arrive in a window.
+fn allowed(limit_per_s: f64) -> f64 {
+    1.5 * limit_per_s * WINDOW.as_secs_f64() + 5.0
+}
+
+struct LimitCase {
+    entry_count: usize,
+    limit_per_s: f64,
+    /// Requests per second that all entries together would send to the target.
+    demand_per_s: f64,
+    /// Restarts per second, each of a random entry, which forgets what it was told.
+    restarts_per_s: f64,
+}
+
+/// An entry in the replay.
+struct SimulatedEntry {
+    locality: Locality,
+    stats: TargetStats,
+    /// Times at which responses arrive.
+    responses: VecDeque<Duration>,
+    told_at: Option<Duration>,
+    started_at: Duration,
+}
+
+fn fleet(entry_count: usize) -> Vec<Entry> {
+    (0..entry_count)
+        .map(|i| {
+            let (zone, region) = ZONES[i % ZONES.len()];
+            entry(&format!("entry-{i}"), zone, region, 100)
+        })
+        .collect()
+}
+
+/// Returns the view that every entry has: two registered entries a zone, the first of which names the
+/// others of the zone as members.
+fn view(fleet: &[Entry], limited: &str) -> View {
+    let mut view = View::default();
+    let (zone, region) = ZONES[0];
+    view.apply(ms(0), registered(target(limited, zone, region), 1));
+    for (zone, _) in ZONES {
+        let mut in_zone: Vec<Entry> = fleet.iter().filter(|e| &*e.zone == zone).cloned().collect();
+        let rest = in_zone.split_off(in_zone.len().min(2));
+        if let Some(first) = in_zone.first_mut() {
+            first.members = rest.into_iter().map(|member| member.name).collect();
+        }
+        for entry in in_zone {
+            view.apply(ms(0), entry_registered(entry, 2));
+        }
+    }
+    view.mark_entries_read();
+    view
+}
+
+#[rstest]
+#[case::smallest_fleet(LimitCase { entry_count: 14, limit_per_s: 1.1, demand_per_s: 5.0, restarts_per_s: 0.0 })]
+#[case::incident(LimitCase { entry_count: 18, limit_per_s: 1.9, demand_per_s: 6.0, restarts_per_s: 0.0 })]
+#[case::hundred_entries(LimitCase { entry_count: 106, limit_per_s: 1.0, demand_per_s: 10.0, restarts_per_s: 0.0 })]
+#[case::hundreds_of_entries(LimitCase { entry_count: 471, limit_per_s: 1.0, demand_per_s: 40.0, restarts_per_s: 0.0 })]
+#[case::far_above_the_limit(LimitCase { entry_count: 471, limit_per_s: 0.8, demand_per_s: 400.0, restarts_per_s: 0.0 })]
+#[case::restarts(LimitCase { entry_count: 18, limit_per_s: 1.4, demand_per_s: 20.0, restarts_per_s: 0.5 })]
+#[case::many_restarts(LimitCase { entry_count: 106, limit_per_s: 1.4, demand_per_s: 60.0, restarts_per_s: 5.0 })]
+#[case::zero(LimitCase { entry_count: 18, limit_per_s: 0.0, demand_per_s: 20.0, restarts_per_s: 0.0 })]
+#[case::higher_limit(LimitCase { entry_count: 106, limit_per_s: 12.0, demand_per_s: 60.0, restarts_per_s: 0.0 })]
+fn targets_get_no_more_than_the_limit_that_they_name(#[case] case: LimitCase) {
+    let limit = RateLimit::try_from(case.limit_per_s.to_string().as_str()).expect("a valid limit");
+    let id: TargetId = "limited".into();
+    let fleet = fleet(case.entry_count);
+    let view = view(&fleet, &id);
+    let bundle = bundle(1, &[]);
+    let mut rng = StdRng::seed_from_u64(case.entry_count as u64);
+    let mut entries: Vec<SimulatedEntry> = fleet
+        .iter()
+        .map(|entry| SimulatedEntry {
+            locality: Locality {
+                zone: entry.zone.clone(),
+                region: entry.region.clone(),
+                entry: entry.name.clone(),
+            },
+            stats: TargetStats::default(),
+            responses: VecDeque::new(),
+            told_at: None,
+            started_at: ms(0),
+        })
+        .collect();
+    let mut first_named_at = None;
+    let mut counted = Vec::new();
+    for now in (0..40_000).map(ms) {
+        for entry in &mut entries {
+            while entry.responses.front().is_some_and(|at| *at <= now) {
+                entry.responses.pop_front();
+                entry.stats.record_limit(now, Some(limit));
+                entry.told_at.get_or_insert(now);
+                first_named_at.get_or_insert(now);
+            }
+        }
+        if rng.random_bool(case.restarts_per_s / 1000.0) {
+            let i = rng.random_range(0..entries.len());
+            let entry = &mut entries[i];
+            entry.stats = TargetStats::default();
+            entry.responses.clear();
+            entry.told_at = None;
+            entry.started_at = now;
+        }
+        if !rng.random_bool(case.demand_per_s / 1000.0) {
+            continue;
+        }
+        let i = rng.random_range(0..entries.len());
+        let entry = &mut entries[i];
+        let selector = Selector {
+            service: "lanes",
+            route: &bundle.routes[0],
+            warmup_rate_per_s: 7.0,
+            excluded: &[],
+            locality: &entry.locality,
+        };
+        let registered = view.target(&id).expect("the target is registered");
+        if !selector.is_eligible(now, &view, registered, Some(&entry.stats)) {
+            continue;
+        }
+        entry.stats.record_send(now);
+        entry.responses.push_back(now + SERVICE_TIME);
+        let was_told = entry.told_at.is_some_and(|at| at + TOLD_GRACE <= now);
+        let is_restarting = entry.started_at > ms(0) && now < entry.started_at + RESTART_GRACE;
+        if was_told && !is_restarting {
+            counted.push(now);
+        }
+    }
+    let from = first_named_at.expect("the target named its limit") + CONTACT;
+    for (i, start) in counted.iter().enumerate() {
+        let in_window = counted[i..].iter().take_while(|at| **at < *start + WINDOW);
+        let count = in_window.count();
+        assert!(
+            *start < from || count as f64 <= allowed(case.limit_per_s),
+            "{count} requests in the window from {start:?}, allowed {}",
+            allowed(case.limit_per_s)
+        );
+    }
+    let whole_windows = 30_000 / WINDOW.as_millis() as usize;
+    assert!(
+        case.limit_per_s < 1.0 || counted.len() >= whole_windows,
+        "the target is still used: {} requests",
+        counted.len()
+    );
+}
--- /dev/null
+++ b/entry/tests/limits.rs
@@ -0,0 +1,106 @@
+//! Guards against limits that hold for all entries together and are exceeded, with real processes.
+
+mod common;
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use common::{fleet, lanes, read};
+use lacewingmoor_standin::caller::{RequestResult, send_request};
+use lacewingmoor_standin::fleet::Fleet;
+use lacewingmoor_standin::target::LimitScope;
+use rstest::rstest;
+
+/// Time after the response that told an entry of a limit from which on the entry must keep to it.
+const TOLD_GRACE: Duration = Duration::from_millis(500);
+
+/// Time after a target first named a limit from which on the limit is checked.
+const CONTACT: Duration = Duration::from_secs(3);
+
+/// Length of the windows in which requests are counted.
+const WINDOW: Duration = Duration::from_secs(4);
+
+/// Pause between two requests of a caller to the same entry.
+const REQUEST_PAUSE: Duration = Duration::from_millis(30);
+
+/// Sends requests to every entry, one after the other, for `duration`. The id of a request starts with
+/// the index of its entry. Returns the numbers of requests that were served and that were not.
+async fn send_for(fleet: &Fleet, prefix: &str, duration: Duration) -> (usize, usize) {
+    let until = Instant::now() + duration;
+    let tasks = fleet.entries.iter().enumerate().map(|(i, entry)| {
+        let addr = entry.caller_addr;
+        let prefix: Arc<str> = format!("{i}-{prefix}").into();
+        tokio::spawn(async move {
+            let (mut served, mut failed) = (0, 0);
+            while Instant::now() < until {
+                let request = read(&format!("{prefix}-{}", served + failed));
+                match send_request(addr, &request).await {
+                    RequestResult::Response(response) if response.status.is_success() => {
+                        served += 1;
+                    }
+                    _ => failed += 1,
+                }
+                tokio::time::sleep(REQUEST_PAUSE).await;
+            }
+            (served, failed)
+        })
+    });
+    let mut total = (0, 0);
+    for task in tasks.collect::<Vec<_>>() {
+        let (served, failed) = task.await.expect("the caller does not panic");
+        total = (total.0 + served, total.1 + failed);
+    }
+    total
+}
+
+/// Returns the arrivals at a target, after `from`, from entries that had been told of its limit.
+fn arrivals_from_told_entries(fleet: &Fleet, target: usize, from: Instant) -> Vec<Instant> {
+    let mut told_at: HashMap<String, Instant> = HashMap::new();
+    let mut counted = Vec::new();
+    for run in fleet.targets[target].standin.runs() {
+        if run.arrived_at < from {
+            continue;
+        }
+        let (entry, _) = run.request_id.split_once('-').expect("an entry's index");
+        let told = told_at.entry(entry.to_owned()).or_insert(run.arrived_at);
+        if run.arrived_at >= *told + TOLD_GRACE {
+            counted.push(run.arrived_at);
+        }
+    }
+    counted
+}
+
+/// Returns the largest number of arrivals in a window that starts at `from` or later.
+fn most_in_a_window(arrivals: &[Instant], from: Instant) -> usize {
+    let counts = arrivals.iter().enumerate().map(|(i, start)| {
+        let in_window = arrivals[i..].iter().take_while(|at| **at < *start + WINDOW);
+        match *start >= from {
+            true => in_window.count(),
+            false => 0,
+        }
+    });
+    counts.max().unwrap_or(0)
+}
+
+#[rstest]
+#[case::named_in_all_responses(LimitScope::AllResponses)]
+#[case::named_in_responses_to_requests(LimitScope::Requests)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn target_gets_no_more_from_all_entries_than_the_limit_that_it_names(
+    #[case] scope: LimitScope,
+) {
+    let fleet = fleet(&lanes(), 8).await;
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let limited_from = Instant::now();
+    fleet.targets[0].standin.set_limit(Some(("1.0", scope)));
+    let (served, failed) = send_for(&fleet, "r", CONTACT + WINDOW + WINDOW).await;
+    assert!(served > 0 && failed == 0, "{served} served, {failed} not");
+    let arrivals = arrivals_from_told_entries(&fleet, 0, limited_from);
+    let most = most_in_a_window(&arrivals, limited_from + CONTACT);
+    let allowed = 1.5 * 1.0 * WINDOW.as_secs_f64() + 5.0;
+    assert!(
+        most as f64 <= allowed,
+        "{most} requests in a window, allowed {allowed}"
+    );
+}
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -3,7 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::{HeaderValue, Request, Response, StatusCode};
@@ -64,6 +64,17 @@
     pub caller_timeout: Option<Duration>,
     /// Request body.
     pub body: Bytes,
+    /// Time at which the request arrived.
+    pub arrived_at: Instant,
+}
+
+/// Responses in which a target names its limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LimitScope {
+    /// All responses, also those to probes.
+    AllResponses,
+    /// Responses to requests only.
+    Requests,
 }
 
 #[derive(Default)]
@@ -71,6 +82,7 @@
     fault: TargetFault,
     healthy: bool,
     load_reports_stopped: bool,
+    limit: Option<(HeaderValue, LimitScope)>,
     running: u32,
     queued: u32,
     max_running: u32,
@@ -131,6 +143,20 @@
         self.shared.lock().load_reports_stopped = true;
     }
 
+    /// Sets the limit that the target names in its responses from now on, as text, or that it names
+    /// none.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the text is not valid in a header field.
+    pub fn set_limit(&self, limit: Option<(&str, LimitScope)>) {
+        let limit = limit.map(|(text, scope)| {
+            let value = HeaderValue::from_str(text).expect("valid in a header field");
+            (value, scope)
+        });
+        self.shared.lock().limit = limit;
+    }
+
     /// Returns the requests that the target started to run, in that order.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
@@ -177,6 +203,15 @@
         let value = HeaderValue::from_str(&load).expect("digits and commas are valid in a header");
         response.headers_mut().insert(headers::SERVER_LOAD, value);
     }
+
+    fn add_limit(&self, response: &mut Response<Full<Bytes>>, is_probe: bool) {
+        let limit = self.lock().limit.clone();
+        if let Some((value, scope)) = limit
+            && (!is_probe || scope == LimitScope::AllResponses)
+        {
+            response.headers_mut().insert(headers::SERVER_LIMIT, value);
+        }
+    }
 }
 
 /// Holds the slot of a running request. A guard that is dropped before the request has finished
@@ -211,6 +246,7 @@
             .to_owned(),
         caller_timeout: headers::caller_timeout(&head.headers),
         body,
+        arrived_at: Instant::now(),
     };
     let fault = shared.lock().fault;
     if fault == TargetFault::Reject {
@@ -219,6 +255,7 @@
         response
             .headers_mut()
             .insert(headers::NOT_EXECUTED, not_executed);
+        shared.add_limit(&mut response, false);
         return Ok(response);
     }
     let request_id = run.request_id.clone();
@@ -267,6 +304,7 @@
         fields.insert(headers::SERVER_SEAL, HeaderValue::from_static("seal"));
     }
     shared.add_load(&mut response);
+    shared.add_limit(&mut response, false);
     Ok(response)
 }
 
@@ -286,5 +324,6 @@
     }
     fields.insert(headers::WARMUP_MS, HeaderValue::from_static("0"));
     shared.add_load(&mut response);
+    shared.add_limit(&mut response, true);
     response
 }
