Let only a few entries send to a target that names a limit

Callers saw nothing; the targets were overloaded.

Cause: no code read the field. It belongs to a class: a bound on the sum over all entries that each entry would have to keep alone. Reading the field and giving each entry an equal part would not have held it: with 18 entries and 1.1 a second each entry may send one request at the same moment, 18 against 12 allowed, and with 471 entries 471.

Change: a target that names a limit has at most limit / 2 + 3 senders. They are the first entries by a hash of entry and target, those of its zone first, so entries that know the same registrations agree on them. Each leaves an interval of senders / limit between its sends, and one before its first. A window of w seconds then has at most limit * w + senders sends, whatever the number of entries: 4.5 * limit + 3 against 6 * limit + 5 allowed in 4 s. Attempts, retries and hedges count alike, as each reserves its send. Entries that do not know the others, or that no registration names, send nothing. The others probe a limited target every 5 s or more, ten probes a second from a region at most, to learn that the limit has ended; if probes name none, requests in place of probes use a tenth of the limit.

Ruled out: equal parts of all entries (above); a claim in the store for each send or each interval (a billed write a second for each target, and none while the store is down); random sends at a mean of the limit (no bound).

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod rendezvous;
 pub mod replica;
 pub mod selection;
+pub mod sharing;
 pub mod shutdown;
 pub mod source;
 pub mod split;
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -14,8 +14,9 @@
 use rand::Rng;
 use rand::seq::SliceRandom as _;
 
-use crate::model::{EntryName, RegionName, TargetId, ZoneName};
+use crate::model::{EntryName, RegionName, Target, TargetId, ZoneName};
 use crate::rendezvous::rendezvous_key;
+use crate::sharing;
 use crate::stats::{LoadReport, TargetStats};
 use crate::view::{RegisteredTarget, View};
 use crate::{Map, Timestamp};
@@ -160,6 +161,10 @@
         {
             return false;
         }
+        let next_send_at = stats.map(|stats| self.next_send_at(view, target, stats));
+        if next_send_at.is_some_and(|at| at.is_none_or(|at| now < at)) {
+            return false;
+        }
         match stats {
             Some(stats) if stats.is_warming_up(now) => {
                 target.zone == self.locality.zone
@@ -171,6 +176,62 @@
         }
     }
 
+    /// Returns from when on the limit that a target names allows this entry to send to it: always if it
+    /// names none, `None` if only other entries may.
+    pub fn next_send_at(
+        &self,
+        view: &View,
+        target: &Target,
+        stats: &TargetStats,
+    ) -> Option<Timestamp> {
+        let Some(limit) = stats.limit.get() else {
+            return Some(Timestamp::ZERO);
+        };
+        let rate_per_s = limit.per_s();
+        let entry_count = view.entry_count();
+        let senders = sharing::senders_max(rate_per_s).min(entry_count);
+        let last_send_at = stats.last_send_at();
+        let rank = view.sender_rank(self.locality, target, senders);
+        let interval = rank.and_then(|_| sharing::send_interval(rate_per_s, senders));
+        match interval {
+            Some(interval) => Some(stats.limit.next_send_at(last_send_at, interval)),
+            None => {
+                let key = rendezvous_key(&self.locality.entry, &target.id);
+                let draw = key as f64 / u64::MAX as f64;
+                let interval = sharing::trial_interval(rate_per_s, entry_count, draw);
+                stats.limit.next_trial_at(last_send_at, interval)
+            }
+        }
+    }
+
+    /// Returns a target of the entry's region to probe because the entry may not send to it and has not
+    /// heard for a while whether its limit still holds.
+    ///
+    /// Load pattern: a target recovers and no longer names a limit. Entries that are no senders of it
+    /// would never send to it again.
+    pub fn select_for_refresh(
+        &self,
+        now: Timestamp,
+        view: &View,
+        target_stats: &Map<TargetId, TargetStats>,
+    ) -> Option<TargetId> {
+        let in_region = view.entry_count_in_region(&self.locality.region);
+        let interval = sharing::refresh_interval(in_region);
+        let should_refresh = |id: &&TargetId| {
+            let stats = target_stats.get(*id);
+            let is_due = stats.is_some_and(|stats| stats.limit.should_refresh(now, interval));
+            is_due
+                && view.target(id).is_some_and(|registered| {
+                    registered.target.region == self.locality.region
+                        && !self.is_eligible(now, view, registered, stats)
+                })
+        };
+        let ids = view.service_targets(self.service).iter();
+        ids.filter(|id| !self.excluded.contains(id))
+            .find(should_refresh)
+            .cloned()
+    }
+
     /// Returns this entry's share of the rate at which a target of its zone that is warming up gets
     /// requests.
     pub fn entry_warmup_rate_per_s(&self, view: &View) -> f64 {
--- a/control/src/stats.rs
+++ b/control/src/stats.rs
@@ -7,7 +7,7 @@
 
 use crate::Timestamp;
 use crate::budget::WarmupLimiter;
-use crate::rate_limit::RateLimit;
+use crate::rate_limit::KnownLimit;
 use crate::selection::{SLOWDOWN_THRESHOLD, TargetHealth};
 
 /// Duration of the first ejection of a target; doubles with each further consecutive ejection.
@@ -61,9 +61,10 @@
     pub warmup_until: Timestamp,
     /// Rate limit during the warm-up.
     pub warmup_limiter: WarmupLimiter,
-    /// Limit that the target named in its last response and when that arrived; `None` if it named
-    /// none.
-    limit: Option<(RateLimit, Timestamp)>,
+    /// Limit on the rate of requests that the target names.
+    pub limit: KnownLimit,
+    /// Time of the last send of this entry; zero before the first one.
+    last_send_at: Timestamp,
     /// Recent sends of this entry, oldest first.
     sends: VecDeque<Timestamp>,
     /// Consecutive slow episodes.
@@ -107,17 +108,6 @@
         (at + age_max >= now).then_some(LoadReport { running, ..load })
     }
 
-    /// Records the limit that a response of the target names, if any. Returns the previous one.
-    pub fn record_limit(&mut self, now: Timestamp, limit: Option<RateLimit>) -> Option<RateLimit> {
-        let previous = std::mem::replace(&mut self.limit, limit.map(|limit| (limit, now)));
-        previous.map(|(limit, _)| limit)
-    }
-
-    /// Returns the limit that the target named in its last response.
-    pub fn limit(&self) -> Option<RateLimit> {
-        self.limit.map(|(limit, _)| limit)
-    }
-
     /// Returns the state of the target apart from its load.
     pub fn health(&self, now: Timestamp) -> TargetHealth {
         TargetHealth {
@@ -136,6 +126,12 @@
             self.sends.pop_front();
         }
         self.sends.push_back(now);
+        self.last_send_at = now;
+    }
+
+    /// Returns the time of the last send of this entry; zero before the first one.
+    pub fn last_send_at(&self) -> Timestamp {
+        self.last_send_at
     }
 
     /// Returns the number of sends since `at`, which a load report as of `at` may not include.
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -11,8 +11,11 @@
 use lacewingmoor_derive::value;
 
 use crate::model::{
-    Change, Entry, EntryName, RecordKey, RecordValue, Revision, Target, TargetId, ZoneName,
+    Change, Entry, EntryName, RecordKey, RecordValue, RegionName, Revision, Target, TargetId,
+    ZoneName,
 };
+use crate::rendezvous::rendezvous_key;
+use crate::selection::Locality;
 use crate::{Map, Set, Timestamp};
 
 /// Time after a store outage for which lapsed targets are kept: targets write their registration
@@ -101,34 +104,49 @@
     entries_overdue: bool,
     /// True while entries may have started that no registration names yet.
     entries_unsettled: bool,
-    /// Numbers of registered entries and their members, in total and by zone.
-    entry_counts: EntryCounts,
+    /// Registered entries and their members.
+    known_entries: KnownEntries,
 }
 
-/// Numbers of entries. An entry counts once, even if several others name it as a member.
+/// Entries of one zone, registered or named as members.
+struct ZoneEntries {
+    region: RegionName,
+    names: Set<EntryName>,
+}
+
+/// All entries that registrations name. An entry counts once, even if several others name it as a
+/// member.
 #[derive(Default)]
-struct EntryCounts {
+struct KnownEntries {
     total: usize,
-    by_zone: Map<ZoneName, usize>,
+    by_zone: Map<ZoneName, ZoneEntries>,
 }
 
-impl EntryCounts {
+impl KnownEntries {
     fn new<'a>(entries: impl Iterator<Item = &'a Rc<Entry>>) -> Self {
         let mut all = Set::default();
-        let mut by_zone: Map<ZoneName, Set<EntryName>> = Map::default();
+        let mut by_zone: Map<ZoneName, ZoneEntries> = Map::default();
         for entry in entries {
-            let in_zone = by_zone.entry(entry.zone.clone()).or_default();
+            let in_zone = by_zone
+                .entry(entry.zone.clone())
+                .or_insert_with(|| ZoneEntries {
+                    region: entry.region.clone(),
+                    names: Set::default(),
+                });
             for name in std::iter::once(&entry.name).chain(&entry.members) {
                 all.insert(name.clone());
-                in_zone.insert(name.clone());
+                in_zone.names.insert(name.clone());
             }
         }
-        let by_zone = by_zone.into_iter();
         Self {
             total: all.len(),
-            by_zone: by_zone.map(|(zone, names)| (zone, names.len())).collect(),
+            by_zone,
         }
     }
+
+    fn count_in_zone(&self, zone: &str) -> usize {
+        self.by_zone.get(zone).map_or(0, |known| known.names.len())
+    }
 }
 
 impl View {
@@ -206,7 +224,7 @@
             (false, true) => self.entries.len().max(1) * ASSUMED_MEMBERS,
             (false, false) => 1,
         };
-        self.entry_counts.total.max(minimum)
+        self.known_entries.total.max(minimum)
     }
 
     /// Returns the number of entries in a zone, which share the warm-up rate of its targets; at
@@ -218,8 +236,49 @@
             (false, true) => in_zone().max(1) * ASSUMED_MEMBERS,
             (false, false) => 1,
         };
-        let count = self.entry_counts.by_zone.get(zone);
-        count.copied().unwrap_or(0).max(minimum)
+        self.known_entries.count_in_zone(zone).max(minimum)
+    }
+
+    /// Returns the number of entries in a region; at least 1.
+    pub fn entry_count_in_region(&self, region: &str) -> usize {
+        let zones = self.known_entries.by_zone.values();
+        let zones = zones.filter(|known| &*known.region == region);
+        zones.map(|known| known.names.len()).sum::<usize>().max(1)
+    }
+
+    /// Returns the number of entries that come before `own` among those that send to `target` while its
+    /// rate is limited for all entries together (see [`crate::sharing`]), if it is below `max`. `None`
+    /// also while this entry does not know the others, or no registration names it: others would not
+    /// count it as a sender.
+    pub fn sender_rank(&self, own: &Locality, target: &Target, max: usize) -> Option<usize> {
+        if !self.has_read_entries || self.entries_unsettled {
+            return None;
+        }
+        let own_zone = self.known_entries.by_zone.get(&own.zone)?;
+        if !own_zone.names.contains(&own.entry) {
+            return None;
+        }
+        // Entries of the target's zone come first, then those of its region.
+        let distance = |zone: &ZoneName, region: &RegionName| match zone {
+            zone if *zone == target.zone => 0,
+            _ if *region == target.region => 1,
+            _ => 2,
+        };
+        let own_distance = distance(&own.zone, &own.region);
+        let own_key = (rendezvous_key(&own.entry, &target.id), &own.entry);
+        let zones = self.known_entries.by_zone.iter();
+        let zones = zones.map(|(zone, known)| (distance(zone, &known.region), known));
+        let (closer, same): (Vec<_>, Vec<_>) = zones
+            .filter(|(distance, _)| *distance <= own_distance)
+            .partition(|(distance, _)| *distance < own_distance);
+        let closer_count: usize = closer.iter().map(|(_, known)| known.names.len()).sum();
+        if closer_count >= max {
+            return None;
+        }
+        let is_ahead = |name: &&EntryName| (rendezvous_key(name, &target.id), *name) < own_key;
+        let names = same.iter().flat_map(|(_, known)| &known.names);
+        let rank = closer_count + names.filter(is_ahead).count();
+        (rank < max).then_some(rank)
     }
 
     /// Returns true if the entry is registered, or named as a member by one that is.
@@ -308,12 +367,12 @@
             }
             (RecordKey::Entry(name), Some(RecordValue::Entry(entry))) => {
                 self.entries.insert(name.clone(), (entry, revision));
-                self.entry_counts = EntryCounts::new(self.entries());
+                self.known_entries = KnownEntries::new(self.entries());
                 Effect::Entry(name, true)
             }
             (RecordKey::Entry(name), None) => match self.entries.remove(&name) {
                 Some(_) => {
-                    self.entry_counts = EntryCounts::new(self.entries());
+                    self.known_entries = KnownEntries::new(self.entries());
                     Effect::Entry(name, false)
                 }
                 None => Effect::None,
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -12,6 +12,7 @@
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::attempt::Outcome;
 use lacewingmoor_control::model::{Target, TargetId};
+use lacewingmoor_control::rate_limit::ResponseKind;
 use lacewingmoor_control::selection::Estimate;
 
 use crate::connection::Connection;
@@ -19,7 +20,6 @@
 use crate::shared_state::SharedState;
 use crate::target_limit;
 use crate::target_search::{self, Candidate};
-use crate::unknown_fields::Origin;
 
 /// Response bytes that are buffered before the head is forwarded. A response that breaks off within
 /// them can still be replaced by that of another target.
@@ -114,7 +114,7 @@
         let remaining = self.hard_deadline.saturating_sub(sent_at);
         let request = self.build_request(shared, remaining, &target.id);
         shared.metrics.attempts.increment(1);
-        if shared.with_target_stats(&target.id, |stats| stats.limit().is_some()) {
+        if shared.with_target_stats(&target.id, |stats| stats.limit.get().is_some()) {
             shared.metrics.limited_attempts.increment(1);
         }
         let response =
@@ -204,7 +204,7 @@
             ));
         }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
-            target_limit::record(shared, &target.id, headers, Origin::Response);
+            target_limit::record(shared, &target.id, headers, ResponseKind::Request);
         }
         if dialect.is_not_run(head.status, headers) {
             let outcome = match head.status {
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -11,6 +11,7 @@
 use lacewingmoor_bundle::Service;
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::model::Target;
+use lacewingmoor_control::rate_limit::ResponseKind;
 use lacewingmoor_control::stats::LoadReport;
 use slog::debug;
 use tokio::sync::mpsc;
@@ -18,7 +19,6 @@
 use crate::connection::Connection;
 use crate::shared_state::SharedState;
 use crate::target_limit;
-use crate::unknown_fields::Origin;
 
 /// Time after which a target that does not respond to a probe counts as unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -163,7 +163,7 @@
     {
         return Err(ProbeError::Misdirected);
     }
-    target_limit::record(shared, &target.id, &head.headers, Origin::Probe);
+    target_limit::record(shared, &target.id, &head.headers, ResponseKind::Probe);
     let load = dialect.load(&head.headers, target.slots);
     let now = shared.now();
     shared.with_target_stats(&target.id, |stats| {
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -7,6 +7,7 @@
 use lacewingmoor_bundle::{Bundle, Route, Service};
 use lacewingmoor_control::admission::{DequeueRate, PendingRequest, Rank, select_queued};
 use lacewingmoor_control::model::TargetId;
+use lacewingmoor_control::selection::Selector;
 use lacewingmoor_control::{Map, Timestamp};
 use tokio::sync::oneshot;
 
@@ -23,6 +24,7 @@
     pending: PendingRequest,
     bundle: Rc<Bundle>,
     route_id: usize,
+    service: Service,
     tried: Vec<TargetId>,
     sender: oneshot::Sender<Candidate>,
 }
@@ -32,10 +34,16 @@
         &self.bundle.routes[self.route_id]
     }
 
-    fn accepts(&self, now: Timestamp, candidate: &Candidate) -> bool {
-        !self.tried.contains(&candidate.target.id)
-            && self.route().allows(&candidate.target.region)
-            && self.pending.may_send_to(now, &candidate.estimate)
+    fn accepts(&self, shared: &SharedState, now: Timestamp, candidate: &Candidate) -> bool {
+        let selector = Selector {
+            service: &self.service.name,
+            route: self.route(),
+            warmup_rate_per_s: self.service.warmup_rate_per_s,
+            excluded: &self.tried,
+            locality: &shared.locality,
+        };
+        self.pending.may_send_to(now, &candidate.estimate)
+            && target_search::is_eligible(shared, &selector, &candidate.target)
     }
 }
 
@@ -84,7 +92,7 @@
                 let now = shared.now();
                 let expected = candidate.estimate.expected_latency;
                 let first = (0..queue.requests.len())
-                    .filter(|i| queue.requests[*i].accepts(now, &candidate))
+                    .filter(|i| queue.requests[*i].accepts(shared, now, &candidate))
                     .min_by_key(|i| queue.requests[*i].pending.rank(now, expected));
                 match first {
                     Some(i) => {
@@ -141,6 +149,7 @@
             pending: pending.clone(),
             bundle: search.bundle.clone(),
             route_id: search.route_id,
+            service: search.service.clone(),
             tried: search.tried.clone(),
             sender,
         });
--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -94,6 +94,7 @@
         let mut search_rounds = 0;
         // Targets that this search has probed, besides those that the request was sent to.
         let mut seen = self.tried.clone();
+        self.prober(shared).refresh_limit();
         loop {
             search_rounds += 1;
             self.rounds += 1;
@@ -281,11 +282,47 @@
             let Some(probe_result) = result else {
                 continue;
             };
+            // The probe may have told a limit that this entry did not know.
+            if !self.is_eligible(&probe_result.target) {
+                self.shared.pool.put(probe_result.connection);
+                continue;
+            }
             self.keep_better(&mut best, self.candidate_from(probe_result));
         }
         best
     }
 
+    /// Returns true if the request may be sent to the target now.
+    fn is_eligible(&self, target: &Target) -> bool {
+        is_eligible(self.shared, &self.selector(), target)
+    }
+
+    /// Probes a target that this entry must not send to, if its limit has to be confirmed and the probe
+    /// budget allows it.
+    fn refresh_limit(&self) {
+        let target = {
+            let view = self.shared.view.borrow();
+            let target_stats = self.shared.target_stats.borrow();
+            let id = self
+                .selector()
+                .select_for_refresh(self.shared.now(), &view, &target_stats);
+            id.and_then(|id| view.target(&id).map(|registered| registered.target.clone()))
+        };
+        if let Some(target) = target
+            && self.take_request_probes(1) == 1
+        {
+            let now = self.shared.now();
+            self.shared
+                .with_target_stats(&target.id, |stats| stats.limit.record_refresh(now));
+            // Nothing waits for the result: the probe updates the statistics of the target.
+            drop(probe::probe_targets(
+                self.shared,
+                self.service,
+                vec![target],
+            ));
+        }
+    }
+
     /// Keeps the better of two candidates and offers the other one to queued requests.
     fn keep_better(&self, best: &mut Option<Candidate>, candidate: Candidate) {
         let better = best
@@ -402,18 +439,7 @@
         let rate_per_s = {
             let view = shared.view.borrow();
             let selector = self.selector();
-            let usable = view
-                .target(&candidate.target.id)
-                .is_some_and(|registration| {
-                    let target_stats = shared.target_stats.borrow();
-                    selector.is_eligible(
-                        now,
-                        &view,
-                        registration,
-                        target_stats.get(&candidate.target.id),
-                    )
-                });
-            if !usable {
+            if !self.is_eligible(&candidate.target) {
                 return false;
             }
             selector.entry_warmup_rate_per_s(&view)
@@ -430,6 +456,15 @@
     }
 }
 
+/// Returns true if a request for which `selector` selects targets may be sent to the target now.
+pub fn is_eligible(shared: &SharedState, selector: &Selector<'_>, target: &Target) -> bool {
+    let view = shared.view.borrow();
+    let target_stats = shared.target_stats.borrow();
+    let stats = target_stats.get(&target.id);
+    view.target(&target.id)
+        .is_some_and(|registered| selector.is_eligible(shared.now(), &view, registered, stats))
+}
+
 /// Offers a target to queued requests after its response has been read. Returns its connection to
 /// the pool if none takes it.
 pub fn release_target(
--- a/entry/src/unknown_fields.rs
+++ b/entry/src/unknown_fields.rs
@@ -4,7 +4,7 @@
 use http::HeaderMap;
 use http::header::HeaderName;
 use lacewingmoor_control::Set;
-use lacewingmoor_derive::copy_value;
+use lacewingmoor_control::rate_limit::ResponseKind;
 use slog::info;
 
 use crate::shared_state::SharedState;
@@ -12,29 +12,20 @@
 /// Number of fields that are logged. A faulty server may send new names without end.
 const LOGGED_MAX: usize = 64;
 
-/// Kind of response that a field was read from.
-#[copy_value]
-pub enum Origin {
-    /// Response of a target to a request.
-    Response,
-    /// Response of a target to a probe.
-    Probe,
-}
-
 /// Fields that have been logged.
-pub type LoggedFields = Set<(Origin, HeaderName)>;
+pub type LoggedFields = Set<(ResponseKind, HeaderName)>;
 
 /// Logs fields that the entry does not know, each once.
-pub fn report(shared: &SharedState, headers: &HeaderMap, origin: Origin) {
+pub fn report(shared: &SharedState, headers: &HeaderMap, kind: ResponseKind) {
     for (name, value) in headers {
         if shared.settings.dialect.is_known(name) {
             continue;
         }
         let mut logged = shared.unknown_fields.borrow_mut();
-        if logged.len() < LOGGED_MAX && logged.insert((origin, name.clone())) {
+        if logged.len() < LOGGED_MAX && logged.insert((kind, name.clone())) {
             info!(
                 shared.log, "unknown_field";
-                "in" => ?origin, "field" => name.as_str(), "value" => ?value,
+                "in" => ?kind, "field" => name.as_str(), "value" => ?value,
             );
         }
     }
