Refuse requests at once that the limits of all targets leave no room for

Cause: the queue only knew the rate at which earlier requests got a target. The limits give the times at which this entry may send, before the first request waits.

Change: a request is queued only if one of these times comes before its deadline, counted after the requests ahead of it. When it turns late it is checked once more, behind all others, since new requests that can be on time come first. An entry without any share tells the caller to come back after 50 ms, because another entry may have one; otherwise after a fifth of the time that the caller has left.

--- a/cli/src/cmd/status.rs
+++ b/cli/src/cmd/status.rs
@@ -128,16 +128,17 @@
             )?;
             for service in status["services"].as_array().into_iter().flatten() {
                 // `in_zones_out`: targets in zones out of service; `cold`: targets that are warming
-                // up; `avoided`: ejected targets.
+                // up; `avoided`: ejected targets; `limited`: targets that name a limit.
                 writeln!(
                     f,
-                    "  {} targets={} draining={} in_zones_out={} cold={} avoided={} waiting={}",
+                    "  {} targets={} draining={} in_zones_out={} cold={} avoided={} limited={} waiting={}",
                     service["name"].as_str().unwrap_or("-"),
                     service["targets"],
                     service["draining"],
                     service["in_zones_out"],
                     service["cold"],
                     service["avoided"],
+                    service["limited"],
                     service["waiting_requests"],
                 )?;
             }
--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -19,8 +19,8 @@
 /// third of that time.
 const RETRY_AFTER_SHARE: f64 = 0.2;
 
-/// Time after which a request that targets rejected may be retried if no other request is queued: a
-/// few round trips.
+/// Time after which a request may be retried that targets rejected while no other request is queued, or
+/// that only other entries may send: a few round trips.
 const REJECTED_RETRY_AFTER: Duration = Duration::from_millis(50);
 
 /// Requests that must be ahead in the queue before a request is refused for its expected wait.
@@ -131,6 +131,38 @@
         Err(wait)
     }
 
+    /// Checks whether the request gets one of `send_times`, the only times at which targets may get
+    /// requests, with `ahead` of `queued_count` queued requests before it in queue order.
+    ///
+    /// Load pattern: all targets of a service name limits that are below the load. What exceeds them is
+    /// refused at once, so that the caller can try another entry, and requests that are late do not
+    /// wait for sends that others take while they are still on time.
+    ///
+    /// # Errors
+    ///
+    /// Returns the time after which the caller may retry: soon if other entries have all sends.
+    pub fn check_send_times(
+        &self,
+        now: Timestamp,
+        send_times: &[Timestamp],
+        ahead: usize,
+        queued_count: usize,
+        service_time: Duration,
+        caller_deadline: Timestamp,
+    ) -> Result<(), Duration> {
+        let gets = |position: usize, latest: Timestamp| {
+            let at = send_times.get(position);
+            at.is_some_and(|at| at.saturating_add(service_time) <= latest)
+        };
+        if gets(ahead, self.soft_deadline) || gets(queued_count, self.hard_deadline) {
+            return Ok(());
+        }
+        Err(match send_times.is_empty() {
+            true => REJECTED_RETRY_AFTER,
+            false => self.retry_after(now, caller_deadline),
+        })
+    }
+
     /// Returns the time after which a caller may retry whose request got no target in time, or was
     /// rejected by targets while others are queued. `caller_deadline` is when the caller times out,
     /// which may be after `hard_deadline`.
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -154,11 +154,7 @@
         stats: Option<&TargetStats>,
     ) -> bool {
         let target = &registered.target;
-        if target.draining
-            || view.is_zone_out_of_service(&target.zone)
-            || !self.route.allows(&target.region)
-            || self.excluded.contains(&target.id)
-        {
+        if !self.is_admissible(view, target) {
             return false;
         }
         let next_send_at = stats.map(|stats| self.next_send_at(view, target, stats));
@@ -176,6 +172,43 @@
         }
     }
 
+    /// Returns true if the request may be sent to the target, apart from limits on its rate.
+    fn is_admissible(&self, view: &View, target: &Target) -> bool {
+        !target.draining
+            && !view.is_zone_out_of_service(&target.zone)
+            && self.route.allows(&target.region)
+            && !self.excluded.contains(&target.id)
+    }
+
+    /// Returns the times until `until` from when on the limits that targets name allow this entry another
+    /// send, in order, at most `count_max`. `None` if a target that the request may be sent to names no
+    /// limit.
+    pub fn limited_send_times(
+        &self,
+        view: &View,
+        target_stats: &Map<TargetId, TargetStats>,
+        until: Timestamp,
+        count_max: usize,
+    ) -> Option<Vec<Timestamp>> {
+        let ids = view.service_targets(self.service).iter();
+        let targets = ids.filter_map(|id| view.target(id).map(|registered| &registered.target));
+        let mut times = Vec::new();
+        for target in targets.filter(|target| self.is_admissible(view, target)) {
+            let stats = target_stats.get(&target.id);
+            let stats = stats.filter(|stats| stats.limit.get().is_some())?;
+            let Some(share) = self.share(view, target, stats) else {
+                continue;
+            };
+            let sends = std::iter::successors(Some(share.next_send_at), |at| {
+                Some(at.saturating_add(share.interval))
+            });
+            times.extend(sends.take_while(|at| *at <= until).take(count_max));
+        }
+        times.sort();
+        times.truncate(count_max);
+        Some(times)
+    }
+
     /// Returns from when on the limit that a target names allows this entry to send to it: always if it
     /// names none, `None` if only other entries may.
     pub fn next_send_at(
@@ -184,24 +217,35 @@
         target: &Target,
         stats: &TargetStats,
     ) -> Option<Timestamp> {
-        let Some(limit) = stats.limit.get() else {
+        if stats.limit.get().is_none() {
             return Some(Timestamp::ZERO);
-        };
-        let rate_per_s = limit.per_s();
+        }
+        let share = self.share(view, target, stats)?;
+        Some(share.next_send_at)
+    }
+
+    /// Returns this entry's share of the limit that a target names; `None` if it has none.
+    fn share(&self, view: &View, target: &Target, stats: &TargetStats) -> Option<Share> {
+        let rate_per_s = stats.limit.get()?.per_s();
         let entry_count = view.entry_count();
         let senders = sharing::senders_max(rate_per_s).min(entry_count);
         let last_send_at = stats.last_send_at();
         let rank = view.sender_rank(self.locality, target, senders);
-        let interval = rank.and_then(|_| sharing::send_interval(rate_per_s, senders));
-        match interval {
-            Some(interval) => Some(stats.limit.next_send_at(last_send_at, interval)),
-            None => {
-                let key = rendezvous_key(&self.locality.entry, &target.id);
-                let draw = key as f64 / u64::MAX as f64;
-                let interval = sharing::trial_interval(rate_per_s, entry_count, draw);
-                stats.limit.next_trial_at(last_send_at, interval)
-            }
+        if let Some(interval) = rank.and_then(|_| sharing::send_interval(rate_per_s, senders)) {
+            let next_send_at = stats.limit.next_send_at(last_send_at, interval);
+            return Some(Share {
+                next_send_at,
+                interval,
+            });
         }
+        let key = rendezvous_key(&self.locality.entry, &target.id);
+        let draw = key as f64 / u64::MAX as f64;
+        let interval = sharing::trial_interval(rate_per_s, entry_count, draw);
+        let next_send_at = stats.limit.next_trial_at(last_send_at, interval)?;
+        Some(Share {
+            next_send_at,
+            interval,
+        })
     }
 
     /// Returns a target of the entry's region to probe because the entry may not send to it and has not
@@ -240,6 +284,14 @@
     }
 }
 
+/// Share of an entry in the rate of a target that is limited for all entries together.
+struct Share {
+    /// Time from which on the entry may send.
+    next_send_at: Timestamp,
+    /// Interval between further sends.
+    interval: Duration,
+}
+
 /// Expected result of sending a request to a target.
 #[value]
 pub struct Estimate {
--- a/control/tests/admission.rs
+++ b/control/tests/admission.rs
@@ -9,6 +9,7 @@
 use lacewingmoor_control::admission::{DequeueRate, PendingRequest, Rank, select_queued};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
+use rstest::rstest;
 
 const SERVICE_TIME: Duration = Duration::from_millis(160);
 const OBJECTIVE: Duration = Duration::from_millis(400);
@@ -124,3 +125,44 @@
         request.retry_after(ms(0), deadline)
     );
 }
+
+struct SendTimesCase {
+    /// Times in milliseconds at which targets may get requests.
+    send_times_ms: &'static [u64],
+    ahead: usize,
+    queued_count: usize,
+    /// Soft and hard deadline in milliseconds.
+    deadlines_ms: (u64, u64),
+    waits: bool,
+}
+
+/// With a service time of 160 ms.
+#[rstest]
+#[case::first_on_time(SendTimesCase { send_times_ms: &[200], ahead: 0, queued_count: 3, deadlines_ms: (400, 2000), waits: true })]
+#[case::second_on_time(SendTimesCase { send_times_ms: &[100, 200], ahead: 1, queued_count: 1, deadlines_ms: (400, 2000), waits: true })]
+#[case::late_but_in_time(SendTimesCase { send_times_ms: &[100, 300, 900], ahead: 1, queued_count: 2, deadlines_ms: (400, 2000), waits: true })]
+#[case::late_behind_others(SendTimesCase { send_times_ms: &[100, 300, 900], ahead: 1, queued_count: 3, deadlines_ms: (400, 2000), waits: false })]
+#[case::after_the_hard_deadline(SendTimesCase { send_times_ms: &[1900], ahead: 0, queued_count: 0, deadlines_ms: (400, 2000), waits: false })]
+#[case::none(SendTimesCase { send_times_ms: &[], ahead: 0, queued_count: 0, deadlines_ms: (400, 2000), waits: false })]
+fn requests_beyond_the_limits_of_targets_do_not_queue(#[case] case: SendTimesCase) {
+    let (soft, hard) = case.deadlines_ms;
+    let pending = PendingRequest {
+        soft_deadline: ms(soft),
+        hard_deadline: ms(hard),
+        priority: 1,
+        large_response: false,
+    };
+    let send_times: Vec<_> = case.send_times_ms.iter().map(|at| ms(*at)).collect();
+    let result = pending.check_send_times(
+        ms(0),
+        &send_times,
+        case.ahead,
+        case.queued_count,
+        ms(160),
+        ms(3000),
+    );
+    assert_eq!(result.is_ok(), case.waits, "{result:?}");
+    // The next entry may have a send at once; a later send of this one is worth waiting for longer.
+    let retry_soon = result.is_err_and(|retry_after| retry_after < ms(100));
+    assert_eq!(retry_soon, case.send_times_ms.is_empty());
+}
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -54,6 +54,22 @@
     probing: bool,
 }
 
+impl ServiceQueue {
+    /// Returns the number of queued requests that come before `pending`. Drops those that are no
+    /// longer awaited.
+    fn count_ahead(
+        &mut self,
+        now: Timestamp,
+        pending: &PendingRequest,
+        service_time: Duration,
+    ) -> usize {
+        self.requests.retain(|queued| !queued.sender.is_closed());
+        let own_rank = pending.rank(now, service_time);
+        let is_ahead = |queued: &&QueuedRequest| queued.pending.rank(now, service_time) <= own_rank;
+        self.requests.iter().filter(is_ahead).count()
+    }
+}
+
 /// Queued requests by service.
 #[derive(Default)]
 pub struct Queue {
@@ -134,16 +150,14 @@
     search: &TargetSearch<'_>,
     service_time: Duration,
 ) -> Result<Candidate, Duration> {
-    let (sender, receiver) = oneshot::channel();
+    let (sender, mut receiver) = oneshot::channel();
     let pending = search.pending.clone();
+    check_send_times(shared, search, service_time, Position::New)?;
     let start_probing = {
         let mut by_service = shared.queue.by_service.borrow_mut();
         let queue = by_service.entry(search.service.name.clone()).or_default();
-        queue.requests.retain(|queued| !queued.sender.is_closed());
         let now = shared.now();
-        let own_rank = pending.rank(now, service_time);
-        let is_ahead = |queued: &&QueuedRequest| queued.pending.rank(now, service_time) <= own_rank;
-        let ahead = queue.requests.iter().filter(is_ahead).count();
+        let ahead = queue.count_ahead(now, &pending, service_time);
         pending.check_queue_wait(now, ahead, &queue.dequeue_rate, service_time)?;
         queue.requests.push(QueuedRequest {
             pending: pending.clone(),
@@ -159,13 +173,73 @@
         let service = search.service.clone();
         tokio::task::spawn_local(probe_while_queued(shared.clone(), service));
     }
-    let deadline = shared.instant(pending.queue_deadline(service_time));
+    // From then on the request is late, and others come first.
+    let queue_deadline = pending.queue_deadline(service_time);
+    let late_at = pending.soft_deadline.saturating_sub(service_time);
+    let late_at = late_at.min(queue_deadline);
+    if let Ok(candidate) = tokio::time::timeout_at(shared.instant(late_at), &mut receiver).await {
+        return candidate.map_err(|_| pending.retry_after(shared.now(), search.caller_deadline));
+    }
+    check_send_times(shared, search, service_time, Position::Queued)?;
+    let deadline = shared.instant(queue_deadline);
     match tokio::time::timeout_at(deadline, receiver).await {
         Ok(Ok(candidate)) => Ok(candidate),
         _ => Err(pending.retry_after(shared.now(), search.caller_deadline)),
     }
 }
 
+/// Whether a request is in the queue already.
+enum Position {
+    New,
+    Queued,
+}
+
+/// Checks whether the limits that targets name leave room for the request before its deadline.
+///
+/// # Errors
+///
+/// Returns the time after which the caller may retry if they do not.
+fn check_send_times(
+    shared: &SharedState,
+    search: &TargetSearch<'_>,
+    service_time: Duration,
+    position: Position,
+) -> Result<(), Duration> {
+    let pending = &search.pending;
+    let now = shared.now();
+    let (ahead, queued_count) = {
+        let mut by_service = shared.queue.by_service.borrow_mut();
+        let queue = by_service.entry(search.service.name.clone()).or_default();
+        let ahead = queue.count_ahead(now, pending, service_time);
+        let own_count = match position {
+            Position::New => 0,
+            Position::Queued => 1,
+        };
+        (
+            ahead.saturating_sub(own_count),
+            queue.requests.len().saturating_sub(own_count),
+        )
+    };
+    let send_times = {
+        let view = shared.view.borrow();
+        let target_stats = shared.target_stats.borrow();
+        let selector = search.selector(shared);
+        let until = pending.queue_deadline(service_time);
+        selector.limited_send_times(&view, &target_stats, until, queued_count + 1)
+    };
+    match send_times {
+        Some(send_times) => pending.check_send_times(
+            now,
+            &send_times,
+            ahead,
+            queued_count,
+            service_time,
+            search.caller_deadline,
+        ),
+        None => Ok(()),
+    }
+}
+
 /// Probes targets until no request is queued for the service.
 async fn probe_while_queued(shared: Rc<SharedState>, service: Service) {
     for turn in 0.. {
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -27,6 +27,9 @@
                 }),
                 "cold": count(&|id| target_stats.get(id).is_some_and(|s| s.is_warming_up(now))),
                 "avoided": count(&|id| target_stats.get(id).is_some_and(|s| s.is_ejected(now))),
+                "limited": count(&|id| {
+                    target_stats.get(id).is_some_and(|s| s.limit.get().is_some())
+                }),
                 "waiting_requests": shared.queue.len(&service.name),
             })
         })
--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -151,6 +151,17 @@
         }
     }
 
+    /// Returns the selector of targets for the request.
+    pub fn selector<'b>(&'b self, shared: &'b SharedState) -> Selector<'b> {
+        Selector {
+            service: &self.service.name,
+            route: self.route(),
+            warmup_rate_per_s: self.service.warmup_rate_per_s,
+            excluded: &self.tried,
+            locality: &shared.locality,
+        }
+    }
+
     fn prober<'b>(&'b self, shared: &'b Rc<SharedState>) -> TargetProber<'b> {
         TargetProber {
             shared,
--- a/entry/tests/limits.rs
+++ b/entry/tests/limits.rs
@@ -6,7 +6,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use common::{fleet, lanes, read};
+use common::{EVENT_TIMEOUT, expect_response, fleet, lanes, read};
+use http::StatusCode;
 use lacewingmoor_standin::caller::{RequestResult, send_request};
 use lacewingmoor_standin::fleet::Fleet;
 use lacewingmoor_standin::target::LimitScope;
@@ -104,3 +105,26 @@
         "{most} requests in a window, allowed {allowed}"
     );
 }
+
+/// Requests that no target may get must not wait until their timeout: the caller could retry at another
+/// entry meanwhile.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn requests_beyond_the_limits_of_all_targets_are_refused_at_once() {
+    let fleet = fleet(&lanes(), 1).await;
+    for target in &fleet.targets {
+        let limit = Some(("0", LimitScope::AllResponses));
+        target.standin.set_limit(limit);
+    }
+    // Each would wait for nearly two seconds, the timeout of the route.
+    let requests = async {
+        for i in 0..30 {
+            let got = expect_response(&fleet.entries[0], &read(&format!("r-{i}"))).await;
+            assert_eq!(got.status, StatusCode::SERVICE_UNAVAILABLE);
+            assert!(got.retry_after.is_some(), "a refusal has a retry-after");
+        }
+    };
+    let done = tokio::time::timeout(EVENT_TIMEOUT, requests).await;
+    assert!(done.is_ok(), "30 requests are refused in time");
+    let runs = fleet.targets.iter().flat_map(|t| t.standin.runs());
+    assert_eq!(runs.count(), 0, "no request ran");
+}
