Let only a few entries of a zone send to a target that warms up

Change: up to 0.3 times the rate and three entries of the target's zone, ranked as the senders of a limited target, share the rate. In zones with no more entries nothing changes.

Measured: control/tests/shared_limits, four of five cases failed (20 of 15.5, 80 of 15.5, 65 and 6.5 allowed) and pass.

--- a/control/src/budget.rs
+++ b/control/src/budget.rs
@@ -110,8 +110,8 @@
 /// Limits the rate of requests to one target that is warming up.
 ///
 /// Load pattern: a target that starts to warm up again while it is under load collapses if it gets
-/// requests well above its warm-up rate, which is the total of all entries. Only entries of the
-/// target's zone send to it, each with an equal share of the rate.
+/// requests well above its warm-up rate, which is the total of all entries. Only a few entries of the
+/// target's zone send to it (see [`crate::sharing`]), each with an equal share of the rate.
 #[derive(Clone, Debug, Default)]
 pub struct WarmupLimiter {
     next_at: Timestamp,
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -32,10 +32,17 @@
 /// Factor by which requests take longer on a target that is nearly full.
 const CONTENTION_FACTOR: f64 = 1.7;
 
-/// Multiple of a target's warm-up rate that all entries of its zone together use. It covers entries
-/// whose view of their zone differs.
+/// Multiple of a target's warm-up rate that all its senders together use.
 const WARMUP_RATE_FACTOR: f64 = 1.2;
 
+/// Multiple of a target's warm-up rate above which it may collapse, if exceeded in a second by more than
+/// a few requests. What lies between [`WARMUP_RATE_FACTOR`] and it allows for senders that send at the
+/// same moment.
+const WARMUP_RATE_FACTOR_MAX: f64 = 1.5;
+
+/// Part of a target's limit by which its senders may exceed it in a second.
+const LIMIT_EXCESS_SHARE: f64 = 0.5;
+
 /// Usable slots of a target that late requests must not use, so that requests that can still be on
 /// time find one. One slot is the smallest reserve that does so.
 const LATE_RESERVE_SLOTS: u32 = 1;
@@ -163,7 +170,7 @@
         }
         match stats {
             Some(stats) if stats.is_warming_up(now) => {
-                target.zone == self.locality.zone
+                self.is_warmup_sender(view, target)
                     && stats
                         .warmup_limiter
                         .allows(now, self.entry_warmup_rate_per_s(view))
@@ -228,7 +235,7 @@
     fn share(&self, view: &View, target: &Target, stats: &TargetStats) -> Option<Share> {
         let rate_per_s = stats.limit.get()?.per_s();
         let entry_count = view.entry_count();
-        let senders = sharing::senders_max(rate_per_s).min(entry_count);
+        let senders = sharing::senders_max(rate_per_s * LIMIT_EXCESS_SHARE).min(entry_count);
         let last_send_at = stats.last_send_at();
         let rank = view.sender_rank(self.locality, target, senders);
         if let Some(interval) = rank.and_then(|_| sharing::send_interval(rate_per_s, senders)) {
@@ -276,11 +283,29 @@
             .cloned()
     }
 
+    /// Returns true if this entry is one of those that send to the target while it warms up: entries
+    /// of its zone.
+    fn is_warmup_sender(&self, view: &View, target: &Target) -> bool {
+        let senders_max = self.warmup_senders_max();
+        let zone = &self.locality.zone;
+        *zone == target.zone
+            && (view.entry_count_in_zone(zone) <= senders_max
+                || view
+                    .sender_rank(self.locality, target, senders_max)
+                    .is_some())
+    }
+
+    fn warmup_senders_max(&self) -> usize {
+        let excess = WARMUP_RATE_FACTOR_MAX - WARMUP_RATE_FACTOR;
+        sharing::senders_max(self.warmup_rate_per_s * excess)
+    }
+
     /// Returns this entry's share of the rate at which a target of its zone that is warming up gets
     /// requests.
     pub fn entry_warmup_rate_per_s(&self, view: &View) -> f64 {
-        self.warmup_rate_per_s * WARMUP_RATE_FACTOR
-            / view.entry_count_in_zone(&self.locality.zone) as f64
+        let entry_count = view.entry_count_in_zone(&self.locality.zone);
+        let senders = entry_count.min(self.warmup_senders_max());
+        self.warmup_rate_per_s * WARMUP_RATE_FACTOR / senders as f64
     }
 }
 
--- a/control/src/sharing.rs
+++ b/control/src/sharing.rs
@@ -28,13 +28,11 @@
 /// no requests.
 const SENDERS_MIN: usize = 3;
 
-/// Returns the maximum number of senders for a rate in requests per second.
-///
-/// It grows with half of the rate: a window of a second then has at most 1.5 times the rate and
-/// [`SENDERS_MIN`] sends, and a longer one less in proportion.
-pub fn senders_max(rate_per_s: f64) -> usize {
-    // Saturates for a rate above the range of the type.
-    ((rate_per_s / 2.0) as usize).saturating_add(SENDERS_MIN)
+/// Returns the maximum number of senders if a second may have `excess_per_s` sends above the rate, and
+/// [`SENDERS_MIN`] more. A longer window has less above the rate in proportion.
+pub fn senders_max(excess_per_s: f64) -> usize {
+    // Saturates for a number above the range of the type.
+    (excess_per_s as usize).saturating_add(SENDERS_MIN)
 }
 
 /// Returns the interval between two sends of each of `senders`; `None` if the rate is so low that none
--- a/control/tests/shared_limits.rs
+++ b/control/tests/shared_limits.rs
@@ -182,7 +182,7 @@
         );
     }
     // Entries are chosen at random, so the senders get only their part of the demand.
-    let senders = senders_max(case.limit_per_s).min(case.entry_count);
+    let senders = senders_max(case.limit_per_s / 2.0).min(case.entry_count);
     let demand_per_s = case.demand_per_s * senders as f64 / case.entry_count as f64;
     let usable_per_s = demand_per_s.min(case.limit_per_s);
     assert!(
@@ -303,3 +303,66 @@
     unread.apply(ms(0), entry_registered(fleet[0].clone(), 2));
     assert!(!may_send(&unread), "the registrations have not been read");
 }
+
+struct WarmupCase {
+    entry_count: usize,
+    rate_per_s: f64,
+}
+
+/// Every entry of the zone has requests for the target at any moment.
+#[rstest]
+#[case::three_entries_in_the_zone(WarmupCase { entry_count: 18, rate_per_s: 7.0 })]
+#[case::twenty_entries_in_the_zone(WarmupCase { entry_count: 120, rate_per_s: 7.0 })]
+#[case::eighty_entries_in_the_zone(WarmupCase { entry_count: 480, rate_per_s: 7.0 })]
+#[case::low_rate(WarmupCase { entry_count: 480, rate_per_s: 1.0 })]
+#[case::high_rate(WarmupCase { entry_count: 480, rate_per_s: 40.0 })]
+fn target_that_warms_up_gets_no_more_from_all_entries_than_its_rate(#[case] case: WarmupCase) {
+    let id: TargetId = "cold".into();
+    let fleet = fleet(case.entry_count);
+    let view = view(&fleet, &id);
+    let registered = view.target(&id).expect("the target is registered");
+    let bundle = bundle(1, &[]);
+    let mut entries: Vec<(Locality, TargetStats)> = fleet
+        .iter()
+        .map(|entry| {
+            let locality = Locality {
+                zone: entry.zone.clone(),
+                region: entry.region.clone(),
+                entry: entry.name.clone(),
+            };
+            let mut stats = TargetStats::default();
+            stats.set_warmup(ms(0), ms(5000));
+            (locality, stats)
+        })
+        .collect();
+    let mut sends = Vec::new();
+    for now in (0..4000).step_by(5).map(ms) {
+        for (locality, stats) in &mut entries {
+            let selector = Selector {
+                service: "lanes",
+                route: &bundle.routes[0],
+                warmup_rate_per_s: case.rate_per_s,
+                excluded: &[],
+                locality,
+            };
+            if selector.is_eligible(now, &view, registered, Some(stats)) {
+                let rate_per_s = selector.entry_warmup_rate_per_s(&view);
+                assert!(stats.warmup_limiter.try_take(now, rate_per_s));
+                sends.push(now);
+            }
+        }
+    }
+    let allowed = 1.5 * case.rate_per_s + 5.0;
+    for (i, start) in sends.iter().enumerate() {
+        let in_second = sends[i..].iter().take_while(|at| **at < *start + ms(1000));
+        let count = in_second.count();
+        assert!(
+            count as f64 <= allowed,
+            "{count} requests in the second from {start:?}, allowed {allowed}"
+        );
+    }
+    assert!(
+        sends.len() as f64 >= 4.0 * case.rate_per_s,
+        "the rate is used"
+    );
+}
