Let the senders of a limited target begin one after the other

What callers saw: with all targets of a service limited to 1.5 a second, no request was sent to them in the first two seconds, since each sender waited for a whole interval after it was told.

Cause: the wait kept senders that are told at the same moment from sending at the same moment. It is enough that the first waits for one part of the interval, the second for two, and so on: the targets then get the rate from the first moment on, and no more.

--- a/control/src/rate_limit.rs
+++ b/control/src/rate_limit.rs
@@ -90,10 +90,17 @@
     }
 
     /// Returns when the entry may send again if it leaves `interval` between its sends, the last of
-    /// which was at `last_send_at`. An entry that has just been told waits for an interval, because
-    /// other entries may have sent since.
-    pub fn next_send_at(&self, last_send_at: Timestamp, interval: Duration) -> Timestamp {
-        self.since.max(last_send_at).saturating_add(interval)
+    /// which was at `last_send_at`. For the first one it waits for `first_wait` after it was told.
+    pub fn next_send_at(
+        &self,
+        last_send_at: Timestamp,
+        interval: Duration,
+        first_wait: Duration,
+    ) -> Timestamp {
+        match last_send_at > self.since {
+            true => last_send_at.saturating_add(interval),
+            false => self.since.saturating_add(first_wait),
+        }
     }
 
     /// Returns when an entry that must not send to the target may send a request to find out whether
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -238,10 +238,13 @@
         let senders = sharing::senders_max(rate_per_s * LIMIT_EXCESS_SHARE).min(entry_count);
         let last_send_at = stats.last_send_at();
         let rank = view.sender_rank(self.locality, target, senders);
-        if let Some(interval) = rank.and_then(|_| sharing::send_interval(rate_per_s, senders)) {
-            let next_send_at = stats.limit.next_send_at(last_send_at, interval);
+        let interval = sharing::send_interval(rate_per_s, senders);
+        if let (Some(rank), Some(interval)) = (rank, interval) {
+            // Senders that are told at the same moment begin one after the other.
+            let first_wait = interval.mul_f64((rank + 1) as f64 / senders as f64);
+            let limit = &stats.limit;
             return Some(Share {
-                next_send_at,
+                next_send_at: limit.next_send_at(last_send_at, interval, first_wait),
                 interval,
             });
         }
--- a/control/src/sharing.rs
+++ b/control/src/sharing.rs
@@ -8,7 +8,7 @@
 //! registrations agree on them, and each target has others.
 //!
 //! With `n` senders and a rate of `r` per second, a window of `w` seconds has at most `r * w + n` sends.
-//! While entries learn of a changed registration, each sender that replaces another adds one.
+//! Senders that are told of a rate at the same moment begin one after the other, at the rate. While entries learn of a changed registration, each sender that replaces another adds one.
 
 use std::time::Duration;
 
