Find out every two seconds whether a limit has ended

An entry that must not send to a limited target probed it after 5 s at the earliest, so a target that had recovered stayed unused by most entries for that time. Two seconds is the interval of a sender with a limit of 1.5 a second; the probes of a region are still ten a second for one target at most.

--- a/control/src/sharing.rs
+++ b/control/src/sharing.rs
@@ -19,7 +19,7 @@
 const TRIAL_RATE_MIN: f64 = 0.1;
 
 /// Shortest time after which a limit is confirmed by a probe.
-const REFRESH_INTERVAL_MIN: Duration = Duration::from_secs(5);
+const REFRESH_INTERVAL_MIN: Duration = Duration::from_secs(2);
 
 /// Shortest time between two such probes by all entries of a region.
 const REFRESH_GAP: Duration = Duration::from_millis(100);
