Leave the sends of limited targets to requests that can be on time

Cause: the queue serves requests that can be on time before late ones, but a limited target gets only a few requests a second. Whenever a send became allowed, only late requests were waiting, and a request that arrived a moment later and could have been on time found none.

Change: a late request may use a send only when it has been allowed for a quarter of the interval between two sends. Since new requests come first, a late one queues only if sends are left for it at the rate at which requests arrive; otherwise it is refused at once.

--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -59,6 +59,27 @@
     pub large_response: bool,
 }
 
+/// Times at which the limits that targets name allow this entry another send, in order.
+#[value]
+#[derive(Default)]
+pub struct SendTimes {
+    /// Of a request that can be on time.
+    pub on_time: Vec<Timestamp>,
+    /// Of a late request.
+    pub late: Vec<Timestamp>,
+}
+
+/// Position of a request among the queued requests of its service.
+#[value]
+pub struct QueuePosition {
+    /// Queued requests before it in queue order.
+    pub ahead: usize,
+    /// All other queued requests.
+    pub queued_count: usize,
+    /// Requests that arrive per second.
+    pub arrivals_per_s: f64,
+}
+
 /// What to do with a request after a round of probes.
 #[value]
 #[derive(Copy, Eq)]
@@ -84,7 +105,7 @@
         match best {
             // A new request takes a preferred target at once, even if it is late. On other targets
             // it leaves the reserve free if it is late, as queued requests do.
-            Some(best) if best.preferred => AdmissionDecision::Send,
+            Some(best) if best.preferred && !self.must_leave(now, best) => AdmissionDecision::Send,
             Some(best) if self.may_send_to(now, best) && (last_round || self.large_response) => {
                 let on_time = now + best.expected_latency <= self.soft_deadline;
                 // After the soft deadline, the request takes any target that it may be sent to.
@@ -100,6 +121,12 @@
         }
     }
 
+    /// Returns true if the target is reserved for requests that can be on time, and this one cannot.
+    fn must_leave(&self, now: Timestamp, estimate: &Estimate) -> bool {
+        let rank = self.rank(now, estimate.expected_latency);
+        estimate.reserved && matches!(rank, Rank::Late(_))
+    }
+
     /// Returns when the request leaves the queue, because no target could respond in the remaining
     /// time.
     pub fn queue_deadline(&self, service_time: Duration) -> Timestamp {
@@ -132,7 +159,7 @@
     }
 
     /// Checks whether the request gets one of `send_times`, the only times at which targets may get
-    /// requests, with `ahead` of `queued_count` queued requests before it in queue order.
+    /// requests, from its position in the queue.
     ///
     /// Load pattern: all targets of a service name limits that are below the load. What exceeds them is
     /// refused at once, so that the caller can try another entry, and requests that are late do not
@@ -144,20 +171,29 @@
     pub fn check_send_times(
         &self,
         now: Timestamp,
-        send_times: &[Timestamp],
-        ahead: usize,
-        queued_count: usize,
+        send_times: &SendTimes,
+        position: &QueuePosition,
         service_time: Duration,
         caller_deadline: Timestamp,
     ) -> Result<(), Duration> {
-        let gets = |position: usize, latest: Timestamp| {
-            let at = send_times.get(position);
-            at.is_some_and(|at| at.saturating_add(service_time) <= latest)
+        let on_time = send_times.on_time.get(position.ahead);
+        if on_time.is_some_and(|at| at.saturating_add(service_time) <= self.soft_deadline) {
+            return Ok(());
+        }
+        // Requests that arrive later and can be on time come first.
+        let sends_before_late = |at: Timestamp| {
+            let elapsed_s = at.saturating_sub(now).as_secs_f64();
+            position.queued_count as f64 + position.arrivals_per_s * elapsed_s
         };
-        if gets(ahead, self.soft_deadline) || gets(queued_count, self.hard_deadline) {
+        let mut late = send_times.late.iter().enumerate();
+        let is_served = late.any(|(sends, at)| {
+            at.saturating_add(service_time) <= self.hard_deadline
+                && sends as f64 >= sends_before_late(*at)
+        });
+        if is_served {
             return Ok(());
         }
-        Err(match send_times.is_empty() {
+        Err(match send_times.on_time.is_empty() {
             true => REJECTED_RETRY_AFTER,
             false => self.retry_after(now, caller_deadline),
         })
@@ -180,7 +216,7 @@
     pub fn may_send_to(&self, now: Timestamp, estimate: &Estimate) -> bool {
         match self.rank(now, estimate.expected_latency) {
             Rank::OnTime(..) => estimate.has_capacity,
-            Rank::Late(_) => estimate.has_spare_capacity,
+            Rank::Late(_) => estimate.has_spare_capacity && !estimate.reserved,
         }
     }
 
--- a/control/src/budget.rs
+++ b/control/src/budget.rs
@@ -56,6 +56,14 @@
         self.current_bucket(now, limits).requests += 1;
     }
 
+    /// Returns the number of requests per second in the window.
+    pub fn requests_per_s(&mut self, now: Timestamp, limits: &RetryLimits) -> f64 {
+        // Drops expired buckets before they are counted.
+        self.current_bucket(now, limits);
+        let requests: u32 = self.buckets.iter().map(|b| b.requests).sum();
+        f64::from(requests) / limits.window.as_secs_f64()
+    }
+
     /// Takes a token for one retry if this entry's share of the budget allows it. The request of a
     /// hedge has not failed, so hedges may not use up what failed requests need.
     pub fn try_take(
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -14,6 +14,7 @@
 use rand::Rng;
 use rand::seq::SliceRandom as _;
 
+use crate::admission::SendTimes;
 use crate::model::{EntryName, RegionName, Target, TargetId, ZoneName};
 use crate::rendezvous::rendezvous_key;
 use crate::sharing;
@@ -40,6 +41,14 @@
 /// same moment.
 const WARMUP_RATE_FACTOR_MAX: f64 = 1.5;
 
+/// Part of the interval between two sends for which a send that a limit allows is left to requests that
+/// can be on time.
+const LATE_HOLD_SHARE: f64 = 0.25;
+
+/// Sends to one target that are considered for queued requests. With a higher limit, a queue is not
+/// bound by it.
+const SENDS_MAX: usize = 64;
+
 /// Part of a target's limit by which its senders may exceed it in a second.
 const LIMIT_EXCESS_SHARE: f64 = 0.5;
 
@@ -187,32 +196,28 @@
             && !self.excluded.contains(&target.id)
     }
 
-    /// Returns the times until `until` from when on the limits that targets name allow this entry another
-    /// send, in order, at most `count_max`. `None` if a target that the request may be sent to names no
-    /// limit.
+    /// Returns the times until `until` at which the limits that targets name allow this entry another
+    /// send. `None` if a target that the request may be sent to names no limit.
     pub fn limited_send_times(
         &self,
         view: &View,
         target_stats: &Map<TargetId, TargetStats>,
         until: Timestamp,
-        count_max: usize,
-    ) -> Option<Vec<Timestamp>> {
+    ) -> Option<SendTimes> {
         let ids = view.service_targets(self.service).iter();
         let targets = ids.filter_map(|id| view.target(id).map(|registered| &registered.target));
-        let mut times = Vec::new();
+        let mut times = SendTimes::default();
         for target in targets.filter(|target| self.is_admissible(view, target)) {
             let stats = target_stats.get(&target.id);
             let stats = stats.filter(|stats| stats.limit.get().is_some())?;
             let Some(share) = self.share(view, target, stats) else {
                 continue;
             };
-            let sends = std::iter::successors(Some(share.next_send_at), |at| {
-                Some(at.saturating_add(share.interval))
-            });
-            times.extend(sends.take_while(|at| *at <= until).take(count_max));
+            times.on_time.extend(share.sends(share.next_send_at, until));
+            times.late.extend(share.sends(share.late_from(), until));
         }
-        times.sort();
-        times.truncate(count_max);
+        times.on_time.sort();
+        times.late.sort();
         Some(times)
     }
 
@@ -231,6 +236,18 @@
         Some(share.next_send_at)
     }
 
+    /// Returns true if a target names a limit and its next send is left to requests that can be on time.
+    pub fn is_reserved(
+        &self,
+        now: Timestamp,
+        view: &View,
+        target: &Target,
+        stats: &TargetStats,
+    ) -> bool {
+        let share = self.share(view, target, stats);
+        share.is_some_and(|share| now < share.late_from())
+    }
+
     /// Returns this entry's share of the limit that a target names; `None` if it has none.
     fn share(&self, view: &View, target: &Target, stats: &TargetStats) -> Option<Share> {
         let rate_per_s = stats.limit.get()?.per_s();
@@ -320,6 +337,26 @@
     interval: Duration,
 }
 
+impl Share {
+    /// Returns the time from which on the entry may also send a request that is late.
+    ///
+    /// Load pattern: all targets of a service name limits that are below the load. Late requests wait
+    /// for every send that becomes allowed, so requests that arrive a moment later and could be on time
+    /// would become late in turn.
+    fn late_from(&self) -> Timestamp {
+        let hold = self.interval.mul_f64(LATE_HOLD_SHARE);
+        self.next_send_at.saturating_add(hold)
+    }
+
+    /// Returns the times of the sends from `first` until `until`, at most [`SENDS_MAX`].
+    fn sends(&self, first: Timestamp, until: Timestamp) -> impl Iterator<Item = Timestamp> {
+        let interval = self.interval;
+        std::iter::successors(Some(first), move |at| at.checked_add(interval))
+            .take_while(move |at| *at <= until)
+            .take(SENDS_MAX)
+    }
+}
+
 /// Expected result of sending a request to a target.
 #[value]
 pub struct Estimate {
@@ -335,6 +372,8 @@
     pub has_capacity: bool,
     /// True if `has_capacity` holds even without the slots that late requests must leave free.
     pub has_spare_capacity: bool,
+    /// True if late requests must not use the target's limit yet.
+    pub reserved: bool,
 }
 
 /// State of a target apart from its load report.
@@ -347,6 +386,8 @@
     pub warming_up: bool,
     /// True if the target reports itself unhealthy.
     pub unhealthy: bool,
+    /// True if the target names a limit that leaves a send to requests that can be on time.
+    pub reserved: bool,
     /// True if the target had several consecutive slow episodes and is therefore used in spite of
     /// them. For other targets, requests wait until a slow episode is over, because a request that
     /// starts in one is slow until it ends.
@@ -425,6 +466,7 @@
             && !health.unhealthy,
         has_capacity: ahead < usable && at_speed,
         has_spare_capacity: ahead + reserve < usable && at_speed,
+        reserved: health.reserved,
     }
 }
 
--- a/control/src/stats.rs
+++ b/control/src/stats.rs
@@ -113,8 +113,9 @@
         TargetHealth {
             error_rate: self.error_rate(now),
             warming_up: self.is_warming_up(now),
-            // Set by the caller from the response to the probe.
+            // Set by the caller, from the response to the probe and from the view.
             unhealthy: false,
+            reserved: false,
             persistently_slow: self.is_persistently_slow(),
         }
     }
--- a/control/tests/admission.rs
+++ b/control/tests/admission.rs
@@ -6,7 +6,9 @@
 use std::time::Duration;
 
 use common::ms;
-use lacewingmoor_control::admission::{DequeueRate, PendingRequest, Rank, select_queued};
+use lacewingmoor_control::admission::{
+    DequeueRate, PendingRequest, QueuePosition, Rank, SendTimes, select_queued,
+};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 use rstest::rstest;
@@ -131,36 +133,39 @@
     send_times_ms: &'static [u64],
     ahead: usize,
     queued_count: usize,
-    /// Soft and hard deadline in milliseconds.
-    deadlines_ms: (u64, u64),
+    arrivals_per_s: f64,
     waits: bool,
 }
 
-/// With a service time of 160 ms.
+/// With a service time of 160 ms, a soft deadline of 400 ms and a hard one of 2 s. Late requests get a
+/// send 100 ms after others.
 #[rstest]
-#[case::first_on_time(SendTimesCase { send_times_ms: &[200], ahead: 0, queued_count: 3, deadlines_ms: (400, 2000), waits: true })]
-#[case::second_on_time(SendTimesCase { send_times_ms: &[100, 200], ahead: 1, queued_count: 1, deadlines_ms: (400, 2000), waits: true })]
-#[case::late_but_in_time(SendTimesCase { send_times_ms: &[100, 300, 900], ahead: 1, queued_count: 2, deadlines_ms: (400, 2000), waits: true })]
-#[case::late_behind_others(SendTimesCase { send_times_ms: &[100, 300, 900], ahead: 1, queued_count: 3, deadlines_ms: (400, 2000), waits: false })]
-#[case::after_the_hard_deadline(SendTimesCase { send_times_ms: &[1900], ahead: 0, queued_count: 0, deadlines_ms: (400, 2000), waits: false })]
-#[case::none(SendTimesCase { send_times_ms: &[], ahead: 0, queued_count: 0, deadlines_ms: (400, 2000), waits: false })]
+#[case::first_on_time(SendTimesCase { send_times_ms: &[200], ahead: 0, queued_count: 3, arrivals_per_s: 9.0, waits: true })]
+#[case::second_on_time(SendTimesCase { send_times_ms: &[100, 200], ahead: 1, queued_count: 1, arrivals_per_s: 9.0, waits: true })]
+#[case::late_but_in_time(SendTimesCase { send_times_ms: &[100, 300, 900], ahead: 1, queued_count: 2, arrivals_per_s: 0.0, waits: true })]
+#[case::late_behind_others(SendTimesCase { send_times_ms: &[100, 300, 900], ahead: 1, queued_count: 3, arrivals_per_s: 0.0, waits: false })]
+#[case::late_behind_new_requests(SendTimesCase { send_times_ms: &[300, 900, 1500], ahead: 1, queued_count: 1, arrivals_per_s: 3.0, waits: false })]
+#[case::late_with_few_new_requests(SendTimesCase { send_times_ms: &[300, 900, 1500], ahead: 1, queued_count: 1, arrivals_per_s: 0.5, waits: true })]
+#[case::after_the_hard_deadline(SendTimesCase { send_times_ms: &[1900], ahead: 0, queued_count: 0, arrivals_per_s: 0.0, waits: false })]
+#[case::none(SendTimesCase { send_times_ms: &[], ahead: 0, queued_count: 0, arrivals_per_s: 0.0, waits: false })]
 fn requests_beyond_the_limits_of_targets_do_not_queue(#[case] case: SendTimesCase) {
-    let (soft, hard) = case.deadlines_ms;
     let pending = PendingRequest {
-        soft_deadline: ms(soft),
-        hard_deadline: ms(hard),
+        soft_deadline: ms(400),
+        hard_deadline: ms(2000),
         priority: 1,
         large_response: false,
     };
-    let send_times: Vec<_> = case.send_times_ms.iter().map(|at| ms(*at)).collect();
-    let result = pending.check_send_times(
-        ms(0),
-        &send_times,
-        case.ahead,
-        case.queued_count,
-        ms(160),
-        ms(3000),
-    );
+    let times = case.send_times_ms.iter();
+    let send_times = SendTimes {
+        on_time: times.clone().map(|at| ms(*at)).collect(),
+        late: times.map(|at| ms(at + 100)).collect(),
+    };
+    let position = QueuePosition {
+        ahead: case.ahead,
+        queued_count: case.queued_count,
+        arrivals_per_s: case.arrivals_per_s,
+    };
+    let result = pending.check_send_times(ms(0), &send_times, &position, ms(160), ms(3000));
     assert_eq!(result.is_ok(), case.waits, "{result:?}");
     // The next entry may have a send at once; a later send of this one is worth waiting for longer.
     let retry_soon = result.is_err_and(|retry_after| retry_after < ms(100));
--- a/control/tests/selection.rs
+++ b/control/tests/selection.rs
@@ -22,6 +22,7 @@
     error_rate: 0.0,
     warming_up: false,
     unhealthy: false,
+    reserved: false,
     persistently_slow: false,
 };
 
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use lacewingmoor_bundle::{Bundle, Route, Service};
-use lacewingmoor_control::admission::{DequeueRate, PendingRequest, Rank, select_queued};
+use lacewingmoor_control::admission::{
+    DequeueRate, PendingRequest, QueuePosition, Rank, select_queued,
+};
 use lacewingmoor_control::model::TargetId;
 use lacewingmoor_control::selection::Selector;
 use lacewingmoor_control::{Map, Timestamp};
@@ -207,37 +209,42 @@
 ) -> Result<(), Duration> {
     let pending = &search.pending;
     let now = shared.now();
-    let (ahead, queued_count) = {
-        let mut by_service = shared.queue.by_service.borrow_mut();
-        let queue = by_service.entry(search.service.name.clone()).or_default();
-        let ahead = queue.count_ahead(now, pending, service_time);
-        let own_count = match position {
-            Position::New => 0,
-            Position::Queued => 1,
-        };
-        (
-            ahead.saturating_sub(own_count),
-            queue.requests.len().saturating_sub(own_count),
-        )
-    };
     let send_times = {
         let view = shared.view.borrow();
         let target_stats = shared.target_stats.borrow();
-        let selector = search.selector(shared);
         let until = pending.queue_deadline(service_time);
-        selector.limited_send_times(&view, &target_stats, until, queued_count + 1)
+        search
+            .selector(shared)
+            .limited_send_times(&view, &target_stats, until)
     };
-    match send_times {
-        Some(send_times) => pending.check_send_times(
-            now,
-            &send_times,
-            ahead,
-            queued_count,
-            service_time,
-            search.caller_deadline,
-        ),
-        None => Ok(()),
-    }
+    let Some(send_times) = send_times else {
+        return Ok(());
+    };
+    let own_count = match position {
+        Position::New => 0,
+        Position::Queued => 1,
+    };
+    let service = &search.service.name;
+    let mut by_service = shared.queue.by_service.borrow_mut();
+    let queue = by_service.entry(service.clone()).or_default();
+    let ahead = queue.count_ahead(now, pending, service_time);
+    let mut services = shared.services.borrow_mut();
+    let limits = &shared.reloadable().retry;
+    let arrivals_per_s = services
+        .get_mut(service)
+        .map_or(0.0, |state| state.retry_budget.requests_per_s(now, limits));
+    let position = QueuePosition {
+        ahead: ahead.saturating_sub(own_count),
+        queued_count: queue.requests.len().saturating_sub(own_count),
+        arrivals_per_s,
+    };
+    pending.check_send_times(
+        now,
+        &send_times,
+        &position,
+        service_time,
+        search.caller_deadline,
+    )
 }
 
 /// Probes targets until no request is queued for the service.
--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -8,7 +8,9 @@
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::admission::{AdmissionDecision, PendingRequest, scope_of_round};
 use lacewingmoor_control::model::{Target, TargetId};
-use lacewingmoor_control::selection::{Estimate, Scope, Selector, estimate, still_has_capacity};
+use lacewingmoor_control::selection::{
+    Estimate, Scope, Selector, TargetHealth, estimate, still_has_capacity,
+};
 use lacewingmoor_control::stats::LoadReport;
 
 use crate::connection::Connection;
@@ -308,6 +310,18 @@
         is_eligible(self.shared, &self.selector(), target)
     }
 
+    /// Returns true if the target's limit leaves the next send to requests that can be on time.
+    fn is_reserved(&self, target: &Target) -> bool {
+        let shared = self.shared;
+        let view = shared.view.borrow();
+        let target_stats = shared.target_stats.borrow();
+        let stats = target_stats.get(&target.id);
+        stats.is_some_and(|stats| {
+            self.selector()
+                .is_reserved(shared.now(), &view, target, stats)
+        })
+    }
+
     /// Probes a target that this entry must not send to, if its limit has to be confirmed and the probe
     /// budget allows it.
     fn refresh_limit(&self) {
@@ -374,10 +388,14 @@
     fn candidate_from(&self, probe_result: ProbeResult) -> Candidate {
         let now = self.shared.now();
         let target = probe_result.target;
-        let (mut health, in_flight) = self
+        let (health, in_flight) = self
             .shared
             .with_target_stats(&target.id, |stats| (stats.health(now), stats.in_flight));
-        health.unhealthy = !probe_result.healthy;
+        let health = TargetHealth {
+            unhealthy: !probe_result.healthy,
+            reserved: self.is_reserved(&target),
+            ..health
+        };
         self.update_reports_load(probe_result.load.is_some(), probe_result.healthy);
         let load = probe_result
             .load
@@ -413,12 +431,17 @@
         let now = shared.now();
         let service_time = self.service_time();
         let estimated = targets.into_iter().map(|target| {
+            let reserved = self.is_reserved(&target);
             shared.with_target_stats(&target.id, |stats| {
                 let load = match stats.recent_report(now, REPORT_AGE_MAX) {
                     Some(load) => load,
                     None => load_from_in_flight(&target, stats.in_flight),
                 };
-                let estimate = estimate(load, Duration::ZERO, service_time, stats.health(now));
+                let health = TargetHealth {
+                    reserved,
+                    ..stats.health(now)
+                };
+                let estimate = estimate(load, Duration::ZERO, service_time, health);
                 (target.clone(), estimate, stats.in_flight)
             })
         });
