--- a/entry/src/store_client.rs
+++ b/entry/src/store_client.rs
@@ -13,6 +13,7 @@
 
 use crate::connection::{self, Connection};
 use crate::shared_state::SharedState;
+use crate::unknown_fields::{self, Origin};
 
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -48,7 +49,7 @@
 
 /// Client of the store with at most one connection.
 pub struct Client {
-    addr: SocketAddr,
+    shared: Rc<SharedState>,
     connection: Option<Connection>,
 }
 
@@ -56,14 +57,18 @@
     /// Creates a client, which connects on its first call.
     pub fn new(shared: &Rc<SharedState>) -> Self {
         Self {
-            addr: shared.settings.store_addr,
+            shared: shared.clone(),
             connection: None,
         }
     }
 
+    fn addr(&self) -> SocketAddr {
+        self.shared.settings.store_addr
+    }
+
     /// Returns the value of the `Host` header.
     pub fn host(&self) -> String {
-        self.addr.to_string()
+        self.addr().to_string()
     }
 
     /// Makes a call. The store may take up to `wait` before it responds, as it does for a watch.
@@ -81,10 +86,11 @@
         counter!("lacewingmoor_store_calls_total", "kind" => kind).increment(1);
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
-            None => Connection::open(self.addr, CONNECT_TIMEOUT).await?,
+            None => Connection::open(self.addr(), CONNECT_TIMEOUT).await?,
         };
         let exchange = async {
             let response = connection.send(request).await?;
+            unknown_fields::report(&self.shared, response.headers(), Origin::Store);
             let status = response.status();
             let body = Limited::new(response.into_body(), BODY_BYTES_MAX)
                 .collect()
--- a/entry/src/target_limit.rs
+++ b/entry/src/target_limit.rs
@@ -6,11 +6,11 @@
 use slog::{info, warn};
 
 use crate::shared_state::SharedState;
-use crate::unknown_fields;
+use crate::unknown_fields::{self, Origin};
 
 /// Records the limit that a response of a target names, or that it names none.
 pub fn record(shared: &SharedState, id: &TargetId, headers: &HeaderMap, kind: ResponseKind) {
-    unknown_fields::report(shared, headers, kind);
+    unknown_fields::report(shared, headers, Origin::Target(kind));
     let field = shared.settings.dialect.request_limit(headers);
     let limit = match field.as_ref().map(|(_, text)| RateLimit::try_from(*text)) {
         Some(Ok(limit)) => Some(limit),
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -247,7 +247,11 @@
             Err(StoreError::Response(store::Error::Compacted)) => {
                 info!(shared.log, "store_history_gone"; "revision" => revision);
                 match list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Latest).await {
-                    Ok(read) => read,
+                    Ok(read) => {
+                        let listed = read.1.revision;
+                        info!(shared.log, "store_listed"; "revision" => listed, "known" => revision);
+                        read
+                    }
                     Err(error) => return error.into(),
                 }
             }
