--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -8,7 +8,7 @@
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
-use http::{Method, Request, StatusCode};
+use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use lacewingmoor_bundle::RawBundle;
 use lacewingmoor_control::model::{Record, Revision, Target};
@@ -27,6 +27,9 @@
 /// Maximum number of records on a page of a listing.
 const PAGE_RECORDS_MAX: usize = 50;
 
+/// Era of a store that was never restored.
+const FIRST_ERA: u64 = 1;
+
 /// Interval at which expired leases and their keys are removed.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -48,8 +51,18 @@
     Delay(Duration),
 }
 
+/// Copy of the contents of a store, from which it can be restored.
+#[derive(Clone)]
+pub struct StoreCopy {
+    records: BTreeMap<String, (Record, LeaseId)>,
+    revision: Revision,
+    leases: BTreeMap<LeaseId, (Instant, Duration)>,
+}
+
 #[derive(Default)]
 struct Inner {
+    /// Number of the era, which rises with each restore; not named in responses while `None`.
+    era: Option<u64>,
     /// Record of each key and its lease; 0 means none.
     records: BTreeMap<String, (Record, LeaseId)>,
     history: Vec<Record>,
@@ -81,8 +94,12 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn start(addr: SocketAddr) -> io::Result<Self> {
+        let inner = Inner {
+            era: Some(FIRST_ERA),
+            ..Inner::default()
+        };
         let shared = Arc::new(Shared {
-            inner: Mutex::default(),
+            inner: Mutex::new(inner),
             changed: watch::Sender::new(0),
         });
         let state = shared.clone();
@@ -172,6 +189,34 @@
         }
     }
 
+    /// Sets whether responses name the era.
+    pub fn set_names_era(&self, names_era: bool) {
+        self.shared.lock().era = names_era.then_some(FIRST_ERA);
+    }
+
+    /// Returns a copy of the current contents.
+    pub fn copy(&self) -> StoreCopy {
+        let inner = self.shared.lock();
+        StoreCopy {
+            records: inner.records.clone(),
+            revision: inner.revision,
+            leases: inner.leases.clone(),
+        }
+    }
+
+    /// Restores the contents from a copy: what was written since is lost, and revisions are given out
+    /// again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let mut inner = self.shared.lock();
+        inner.records = copy.records.clone();
+        inner.leases = copy.leases.clone();
+        inner.revision = copy.revision;
+        inner.history.retain(|r| r.revision <= copy.revision);
+        inner.era = inner.era.map(|era| era + 1);
+        drop(inner);
+        self.shared.changed.send_replace(copy.revision);
+    }
+
     /// Drops the history: a watch that continues from an earlier revision gets status 410.
     pub fn compact(&self) {
         let mut inner = self.shared.lock();
@@ -246,23 +291,32 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
+    let mut response = respond_or_fail(&shared, request).await?;
+    if let Some(era) = shared.lock().era {
+        let era = HeaderValue::from(era);
+        response.headers_mut().insert(server::ERA_HEADER, era);
+    }
+    Ok(response)
+}
+
+async fn respond_or_fail(shared: &Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
     let fault = {
         let mut inner = shared.lock();
         inner.call_count += 1;
         inner.fault
     };
     match fault {
-        StoreFault::None => execute(&shared, request).await,
+        StoreFault::None => execute(shared, request).await,
         StoreFault::Reset => Err(connection_aborted()),
         StoreFault::Hang => std::future::pending().await,
         StoreFault::TooManyRequests => Ok(respond(StatusCode::TOO_MANY_REQUESTS, "")),
         StoreFault::LoseResponses => {
-            execute(&shared, request).await?;
+            execute(shared, request).await?;
             Err(connection_aborted())
         }
         StoreFault::Delay(delay) => {
             tokio::time::sleep(delay).await;
-            execute(&shared, request).await
+            execute(shared, request).await
         }
     }
 }
@@ -364,7 +418,7 @@
     loop {
         {
             let inner = shared.lock();
-            if after < inner.compacted_revision {
+            if after < inner.compacted_revision || after > inner.revision {
                 return respond(StatusCode::GONE, "");
             }
             let is_new = |r: &&Record| r.revision > after && r.key.starts_with(prefix);
