Order the store's revisions by era

Cause: replica and view took the greater revision for the newer one. A restored store gives out revisions again, so everything that was written after the restore counted as older until the counter had passed its former value. The class: an order that is taken from a counter of another system, without the condition under which that counter only rises.

Change: a revision is an era and a number, ordered in this way. The era comes from the field Store-Era. Listings that may be stale are used only while the store was never restored. A reply of an earlier era is an error. A store that names no era is taken as restored if its latest revision decreases.

The restored store has lost what was written since the copy, and shows what had been replaced: the view keeps the newer bundle by its version and the newer registration of a target by start and sequence (a target that drains or left is not in use again), holds back zones that differ and missing targets for 2 s and missing entries for 9 s, and entries write their registration again.

Ruled out: accepting a lower revision after status 410 (the numbers may have passed the former ones, then there is no 410, and followers cannot tell a late update from a new one).

The second restore of the test now needs a named era: without one the store gives the same revision to another version, which nothing tells apart.

--- a/control/src/model.rs
+++ b/control/src/model.rs
@@ -3,6 +3,7 @@
 //! An entry is a process of the load balancer on an entry VM; a target is a server that requests
 //! are sent to.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,8 +23,27 @@
 /// Name of an entry.
 pub type EntryName = Rc<str>;
 
+/// Number of an era of the store. A store that is restored from an older copy begins a new one.
+pub type Era = u64;
+
 /// Revision of the store; increases with every change of any key.
-pub type Revision = u64;
+///
+/// The store counts changes with a number, and gives out numbers again after it was restored from an
+/// older copy. Revisions of a later era are therefore greater than all of an earlier one.
+#[wire]
+#[derive(Copy, Eq, PartialOrd, Ord, Hash, Default)]
+pub struct Revision {
+    /// Era in which the revision was read.
+    pub era: Era,
+    /// Number that the store counts changes with; 0 before the first one.
+    pub number: u64,
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{}", self.era, self.number)
+    }
+}
 
 /// A registered target.
 #[value]
@@ -46,6 +66,8 @@
     pub warmup_left: Duration,
     /// Unix time in milliseconds at which the target started, if it reports one.
     pub started_unix_ms: Option<u64>,
+    /// Number that the target counts up with each report since its start, if it states one.
+    pub sequence: Option<u64>,
 }
 
 /// A registered entry.
--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -3,6 +3,10 @@
 //!
 //! Removed keys are kept as tombstones, so that an update since any revision includes removals.
 //! Records carry the store's revision, so duplicate, delayed and reordered updates are harmless.
+//!
+//! Fault: the store is restored from an older copy and gives out revisions again. Its contents in the new
+//! era begin with a snapshot, and records of an earlier era are no longer accepted: what was written
+//! since the copy is lost.
 
 use lacewingmoor_derive::wire;
 
@@ -36,7 +40,7 @@
 }
 
 impl Replica {
-    /// Returns the revision up to which every change is included; 0 before the first update.
+    /// Returns the revision up to which every change is included; the default before the first update.
     pub fn revision(&self) -> Revision {
         self.revision
     }
@@ -44,7 +48,8 @@
     /// Applies an update and returns the records that were new, in the order of their revisions.
     pub fn apply(&mut self, update: Update) -> Vec<Record> {
         let mut records = update.records;
-        if update.is_snapshot {
+        records.retain(|record| record.revision.era >= self.revision.era);
+        if update.is_snapshot && update.revision.era >= self.revision.era {
             records.extend(self.missing_from_snapshot(&records, update.revision));
         }
         records.sort_by_key(|record| record.revision);
@@ -52,6 +57,10 @@
             .into_iter()
             .filter(|r| self.insert_if_newer(r))
             .collect();
+        if update.revision.era > self.revision.era {
+            // Followers may have keys of the earlier era of which this entry knows nothing.
+            self.compacted_revision = update.revision;
+        }
         self.revision = self.revision.max(update.revision);
         if self.tombstone_count > TOMBSTONES_MAX {
             self.compact();
@@ -62,6 +71,7 @@
     /// Returns an update for a follower that has every change up to `after`: the later changes, or
     /// a snapshot if tombstones that it may need have been dropped.
     pub fn update_since(&self, after: Revision) -> Update {
+        // A follower of an earlier era may have records that were lost with it.
         let is_snapshot = after < self.compacted_revision;
         let is_included = |record: &&Record| match is_snapshot {
             true => record.value.is_some(),
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -3,6 +3,12 @@
 //! The same change may arrive twice, delayed or from another source. Changes carry the revision of
 //! the store, so that an older revision of a key never replaces a newer one. The bundle version
 //! never decreases within one process.
+//!
+//! Fault: the store is restored from an older copy. It lost what was written since the copy, and the
+//! operators and targets that wrote it soon write it again. Until then a key of the new era may show
+//! what had been replaced or removed in the earlier one. So the first change of a key in a new era that
+//! contradicts the view is held back for a while, unless its contents show that it is the newer one:
+//! bundles by their version, registrations of targets by their start and sequence.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -22,6 +28,13 @@
 /// again within two seconds. See [`TargetChange::Lapsed`].
 pub const LAPSED_RETENTION: Duration = Duration::from_secs(2);
 
+/// Time after a restore of the store within which operators write again what was lost, and targets
+/// their registrations.
+const REWRITE_TIME: Duration = Duration::from_secs(2);
+
+/// The same for entries, which notice the loss of their registration when they renew it.
+const ENTRY_REWRITE_TIME: Duration = Duration::from_secs(9);
+
 /// Number of tombstones at which the next removal drops all earlier ones. Tombstones prevent an
 /// older change from another source from restoring a removed key.
 const TOMBSTONES_MAX: usize = 4096;
@@ -38,6 +51,19 @@
     pub retained_until: Option<Timestamp>,
 }
 
+/// Removal of a key.
+struct Tombstone {
+    revision: Revision,
+    /// Last registration of a removed target.
+    target: Option<Rc<Target>>,
+}
+
+/// First change of a key after a restore of the store, which takes effect unless another one follows.
+struct HeldChange {
+    change: Change,
+    until: Timestamp,
+}
+
 /// Effect of a change on the view.
 #[value]
 pub enum Effect {
@@ -95,7 +121,8 @@
     targets: Map<TargetId, RegisteredTarget>,
     zones_out_of_service: Map<ZoneName, Revision>,
     entries: Map<EntryName, (Rc<Entry>, Revision)>,
-    tombstones: Map<RecordKey, Revision>,
+    tombstones: Map<RecordKey, Tombstone>,
+    held: Map<RecordKey, HeldChange>,
     services: Map<String, Vec<TargetId>>,
     retain_lapsed_until: Timestamp,
     /// True once the registrations of entries have been read since this process started.
@@ -299,11 +326,86 @@
         if last.is_some_and(|last| last >= change.revision) {
             return Effect::None;
         }
+        if last.is_some_and(|last| last.era < change.revision.era) {
+            match self.rate_first_of_era(&change) {
+                FirstOfEra::Applies => {}
+                FirstOfEra::IsKnown => {
+                    self.set_revision(&change);
+                    return Effect::None;
+                }
+                FirstOfEra::IsHeld(time) => {
+                    let until = now + time;
+                    let key = change.key.clone();
+                    self.held.insert(key, HeldChange { change, until });
+                    return Effect::None;
+                }
+            }
+        }
+        self.held.remove(&change.key);
         self.apply_newer(now, change)
     }
 
-    /// Drops lapsed targets that did not register again in time.
-    pub fn drop_lapsed_targets(&mut self, now: Timestamp) -> Vec<Effect> {
+    /// Applies changes that were held back and that no other change has replaced, and drops lapsed
+    /// targets that did not register again in time.
+    pub fn apply_due(&mut self, now: Timestamp) -> Vec<Effect> {
+        let held = self.held.iter();
+        let due = held.filter(|(_, held)| held.until <= now);
+        let due: Vec<RecordKey> = due.map(|(key, _)| key.clone()).collect();
+        let mut effects = self.drop_lapsed_targets(now);
+        for key in due {
+            if let Some(held) = self.held.remove(&key) {
+                effects.push(self.apply_newer(now, held.change));
+            }
+        }
+        effects
+    }
+
+    /// Decides what the first change of a key in a new era does.
+    fn rate_first_of_era(&self, change: &Change) -> FirstOfEra {
+        match (&change.key, &change.value) {
+            (RecordKey::Bundle, _) => FirstOfEra::Applies,
+            (RecordKey::Target(id), Some(RecordValue::Target(target))) => {
+                let registered = self.targets.get(id);
+                let is_known = match registered {
+                    Some(known) => *known.target == **target || is_older(target, &known.target),
+                    None => self.tombstones.get(&change.key).is_some_and(|tombstone| {
+                        let last = tombstone.target.as_ref();
+                        last.is_some_and(|last| **last == **target || is_older(target, last))
+                    }),
+                };
+                match is_known {
+                    true => FirstOfEra::IsKnown,
+                    false => FirstOfEra::Applies,
+                }
+            }
+            // The target lapses if it is not draining.
+            (RecordKey::Target(_), _) => FirstOfEra::Applies,
+            (RecordKey::ZoneOutOfService(zone), value) => {
+                match self.zones_out_of_service.contains_key(zone) == value.is_some() {
+                    true => FirstOfEra::Applies,
+                    false => FirstOfEra::IsHeld(REWRITE_TIME),
+                }
+            }
+            (RecordKey::Entry(_), Some(_)) => FirstOfEra::Applies,
+            (RecordKey::Entry(name), None) => match self.entries.contains_key(name) {
+                true => FirstOfEra::IsHeld(ENTRY_REWRITE_TIME),
+                false => FirstOfEra::Applies,
+            },
+        }
+    }
+
+    /// Records the revision of a change that changes nothing.
+    fn set_revision(&mut self, change: &Change) {
+        if let RecordKey::Target(id) = &change.key
+            && let Some(registered) = self.targets.get_mut(id)
+        {
+            registered.revision = change.revision;
+        } else if let Some(tombstone) = self.tombstones.get_mut(&change.key) {
+            tombstone.revision = change.revision;
+        }
+    }
+
+    fn drop_lapsed_targets(&mut self, now: Timestamp) -> Vec<Effect> {
         let lapsed: Vec<TargetId> = self
             .targets
             .values()
@@ -326,16 +428,15 @@
             RecordKey::ZoneOutOfService(zone) => self.zones_out_of_service.get(zone).copied(),
             RecordKey::Entry(name) => self.entries.get(name).map(|(_, revision)| *revision),
         };
-        present.max(self.tombstones.get(key).copied())
+        let removed = self.tombstones.get(key).map(|tombstone| tombstone.revision);
+        let held = self.held.get(key).map(|held| held.change.revision);
+        present.max(removed).max(held)
     }
 
     fn apply_newer(&mut self, now: Timestamp, change: Change) -> Effect {
         let revision = change.revision;
         if change.value.is_none() {
-            if self.tombstones.len() >= TOMBSTONES_MAX {
-                self.tombstones.clear();
-            }
-            self.tombstones.insert(change.key.clone(), revision);
+            self.insert_tombstone(change.key.clone(), revision);
         }
         match (change.key, change.value) {
             (RecordKey::Bundle, Some(RecordValue::Bundle(bundle))) => {
@@ -351,8 +452,8 @@
             (RecordKey::Target(id), Some(value)) => {
                 // An invalid registration does not describe a target that can be used, so the
                 // target is dropped.
+                self.insert_tombstone(RecordKey::Target(id.clone()), revision);
                 self.delete_target(&id);
-                self.tombstones.insert(RecordKey::Target(id), revision);
                 invalid(value)
             }
             (RecordKey::ZoneOutOfService(zone), Some(_)) => {
@@ -381,6 +482,22 @@
         }
     }
 
+    fn insert_tombstone(&mut self, key: RecordKey, revision: Revision) {
+        if self.tombstones.len() >= TOMBSTONES_MAX {
+            self.tombstones.clear();
+        }
+        let target = match &key {
+            RecordKey::Target(id) => {
+                let registered = self.targets.get(id);
+                let last = registered.map(|registered| registered.target.clone());
+                let before = self.tombstones.get(&key);
+                last.or_else(|| before.and_then(|tombstone| tombstone.target.clone()))
+            }
+            _ => None,
+        };
+        self.tombstones.insert(key, Tombstone { revision, target });
+    }
+
     fn set_bundle(&mut self, bundle: Rc<Bundle>, revision: Revision) -> Effect {
         let version = bundle.version;
         if self
@@ -420,13 +537,16 @@
         Effect::Target(id, change)
     }
 
-    /// Applies the removal of a registration. Shortly after a store outage the target lapses,
-    /// unless it is draining.
+    /// Applies the removal of a registration. Shortly after a store outage or a restore of the store the
+    /// target lapses, unless it is draining.
     fn apply_target_removal(&mut self, now: Timestamp, id: TargetId, revision: Revision) -> Effect {
-        let retain_lapsed_until = self.retain_lapsed_until;
         let Some(registered) = self.targets.get_mut(&id) else {
             return Effect::None;
         };
+        let retain_lapsed_until = match registered.revision.era < revision.era {
+            true => self.retain_lapsed_until.max(now + LAPSED_RETENTION),
+            false => self.retain_lapsed_until,
+        };
         if now < retain_lapsed_until && !registered.target.draining {
             registered.retained_until = Some(retain_lapsed_until);
             registered.revision = revision;
@@ -447,6 +567,27 @@
     }
 }
 
+/// What the first change of a key in a new era does.
+enum FirstOfEra {
+    /// It takes effect at once.
+    Applies,
+    /// It repeats what is known, or what was replaced since.
+    IsKnown,
+    /// It takes effect after this time unless another change follows.
+    IsHeld(Duration),
+}
+
+/// Returns true if the registration `target` was written before `known`, by their contents.
+fn is_older(target: &Target, known: &Target) -> bool {
+    match (target.started_unix_ms, known.started_unix_ms) {
+        (Some(started), Some(known_started)) if started != known_started => started < known_started,
+        _ => match (target.sequence, known.sequence) {
+            (Some(sequence), Some(known_sequence)) => sequence < known_sequence,
+            _ => false,
+        },
+    }
+}
+
 fn invalid(value: RecordValue) -> Effect {
     match value {
         RecordValue::Invalid(why) => Effect::Invalid(why),
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -8,7 +8,7 @@
 use lacewingmoor_bundle::{
     Bundle, RawBundle, RawDestination, RawLimits, RawRepeat, RawRoute, RawService,
 };
-use lacewingmoor_control::model::{Change, Entry, RecordKey, RecordValue, Revision, Target};
+use lacewingmoor_control::model::{Change, Entry, Era, RecordKey, RecordValue, Revision, Target};
 use lacewingmoor_control::selection::Locality;
 use lacewingmoor_control::stats::LoadReport;
 
@@ -65,23 +65,34 @@
         draining: false,
         warmup_left: Duration::ZERO,
         started_unix_ms: Some(1),
+        sequence: Some(1),
     }
 }
 
-/// Returns the registration of a target at a revision.
-pub fn registered(target: Target, revision: Revision) -> Change {
+/// Returns a revision of the first era.
+pub fn rev(number: u64) -> Revision {
+    in_era(1, number)
+}
+
+/// Returns a revision of an era.
+pub fn in_era(era: Era, number: u64) -> Revision {
+    Revision { era, number }
+}
+
+/// Returns the registration of a target at a revision of the first era.
+pub fn registered(target: Target, number: u64) -> Change {
     Change {
         key: RecordKey::Target(target.id.clone()),
-        revision,
+        revision: rev(number),
         value: Some(RecordValue::Target(Rc::new(target))),
     }
 }
 
-/// Returns the removal of a target at a revision.
-pub fn removed(id: &str, revision: Revision) -> Change {
+/// Returns the removal of a target at a revision of the first era.
+pub fn removed(id: &str, number: u64) -> Change {
     Change {
         key: RecordKey::Target(id.into()),
-        revision,
+        revision: rev(number),
         value: None,
     }
 }
@@ -98,11 +109,11 @@
     }
 }
 
-/// Returns the registration of an entry at a revision.
-pub fn entry_registered(entry: Entry, revision: Revision) -> Change {
+/// Returns the registration of an entry at a revision of the first era.
+pub fn entry_registered(entry: Entry, number: u64) -> Change {
     Change {
         key: RecordKey::Entry(entry.name.clone()),
-        revision,
+        revision: rev(number),
         value: Some(RecordValue::Entry(Rc::new(entry))),
     }
 }
--- a/control/tests/selection.rs
+++ b/control/tests/selection.rs
@@ -5,7 +5,7 @@
 
 use std::time::Duration;
 
-use common::{bundle, load, locality, ms, registered, target};
+use common::{bundle, load, locality, ms, registered, rev, target};
 use lacewingmoor_control::Map;
 use lacewingmoor_control::model::{Change, RecordKey, RecordValue, Target, TargetId};
 use lacewingmoor_control::selection::{
@@ -112,7 +112,7 @@
         ms(0),
         Change {
             key: RecordKey::ZoneOutOfService("north-b".into()),
-            revision: 99,
+            revision: rev(99),
             value: Some(RecordValue::ZoneOutOfService),
         },
     );
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -2,15 +2,15 @@
 
 mod common;
 
-use common::{bundle, entry, entry_registered, ms, registered, removed, target};
-use lacewingmoor_control::model::{Change, RecordKey, RecordValue};
+use common::{bundle, entry, entry_registered, in_era, ms, registered, removed, rev, target};
+use lacewingmoor_control::model::{Change, RecordKey, RecordValue, Target};
 use lacewingmoor_control::view::{Effect, LAPSED_RETENTION, TargetChange, View};
 use rstest::rstest;
 
 fn bundle_change(version: u64, revision: u64) -> Change {
     Change {
         key: RecordKey::Bundle,
-        revision,
+        revision: rev(revision),
         value: Some(RecordValue::Bundle(bundle(version, &[]))),
     }
 }
@@ -49,7 +49,7 @@
     view.apply(ms(0), bundle_change(3, 10));
     let change = Change {
         key: RecordKey::Bundle,
-        revision: 11,
+        revision: rev(11),
         value: case.value,
     };
     assert_eq!(view.apply(ms(0), change), case.effect);
@@ -74,7 +74,7 @@
     view.apply(ms(0), registered(target("u", "north-a", "north"), 11));
     let broken = Change {
         key: RecordKey::Target("t".into()),
-        revision: 12,
+        revision: rev(12),
         value: Some(RecordValue::Invalid("no address".into())),
     };
     assert!(matches!(view.apply(ms(0), broken), Effect::Invalid(_)));
@@ -125,7 +125,7 @@
     view.apply(ms(5010), removed("gone", 13));
     assert!(view.target("back").is_some() && view.target("gone").is_some());
     view.apply(ms(6000), registered(target("back", "north-a", "north"), 14));
-    view.drop_lapsed_targets(ms(5000) + LAPSED_RETENTION);
+    view.apply_due(ms(5000) + LAPSED_RETENTION);
     assert!(view.target("back").is_some(), "it registered again");
     assert!(
         view.target("gone").is_none(),
@@ -149,7 +149,7 @@
     let mut view = View::default();
     let change = |revision, value| Change {
         key: RecordKey::ZoneOutOfService("north-a".into()),
-        revision,
+        revision: rev(revision),
         value,
     };
     view.apply(ms(0), change(10, Some(RecordValue::ZoneOutOfService)));
@@ -214,3 +214,164 @@
     view.set_entries_unsettled(false);
     assert_eq!(view.entry_count(), 1);
 }
+
+/// Returns a change in the second era, which begins with a restore of the store.
+fn in_second_era(change: Change) -> Change {
+    Change {
+        revision: in_era(2, change.revision.number),
+        ..change
+    }
+}
+
+fn zone_change(number: u64, out: bool) -> Change {
+    Change {
+        key: RecordKey::ZoneOutOfService("north-a".into()),
+        revision: rev(number),
+        value: out.then_some(RecordValue::ZoneOutOfService),
+    }
+}
+
+fn with_sequence(sequence: u64, draining: bool) -> Target {
+    Target {
+        sequence: Some(sequence),
+        draining,
+        ..target("t", "north-a", "north")
+    }
+}
+
+#[test]
+fn bundle_of_a_restored_store_is_not_replaced_by_an_older_one() {
+    let mut view = View::default();
+    view.apply(ms(0), bundle_change(7, 60));
+    view.apply(ms(0), bundle_change(10, 68));
+    let restored = in_second_era(bundle_change(7, 60));
+    assert_eq!(view.apply(ms(9), restored), Effect::BundleIgnored(7));
+    let newer = in_second_era(bundle_change(12, 61));
+    assert_eq!(view.apply(ms(10), newer), Effect::BundleActivated(12));
+}
+
+struct RestoredTargetCase {
+    /// Registration in the first era; `None` if it was removed after it had sequence 5.
+    before: Option<(u64, bool)>,
+    /// Registration in the restored store.
+    restored: (u64, bool),
+    /// Whether the target is in the view afterwards, and draining.
+    expected: Option<bool>,
+}
+
+/// The copy shows targets as they were before they began to drain, or left.
+#[rstest]
+#[case::began_to_drain(RestoredTargetCase { before: Some((5, true)), restored: (4, false), expected: Some(true) })]
+#[case::left(RestoredTargetCase { before: None, restored: (4, false), expected: None })]
+#[case::left_unchanged_since_the_copy(RestoredTargetCase { before: None, restored: (5, false), expected: None })]
+#[case::registered_again_after_it_left(RestoredTargetCase { before: None, restored: (6, false), expected: Some(false) })]
+#[case::began_to_drain_after_the_restore(RestoredTargetCase { before: Some((5, false)), restored: (6, true), expected: Some(true) })]
+fn targets_of_a_restored_store_are_not_older_than_before(#[case] case: RestoredTargetCase) {
+    let mut view = View::default();
+    let (sequence, draining) = case.before.unwrap_or((5, false));
+    view.apply(ms(0), registered(with_sequence(sequence, draining), 60));
+    if case.before.is_none() {
+        view.apply(ms(0), removed("t", 68));
+    }
+    let (sequence, draining) = case.restored;
+    let restored = registered(with_sequence(sequence, draining), 55);
+    view.apply(ms(9), in_second_era(restored));
+    let draining = view
+        .target("t")
+        .map(|registered| registered.target.draining);
+    assert_eq!(draining, case.expected);
+    // What the target writes in the new era counts, whatever its number.
+    let next = registered(with_sequence(9, false), 56);
+    view.apply(ms(10), in_second_era(next));
+    assert!(
+        view.target("t")
+            .is_some_and(|registered| !registered.target.draining)
+    );
+}
+
+#[test]
+fn target_lost_in_a_restore_is_kept_until_it_had_time_to_register_again() {
+    let mut view = View::default();
+    view.apply(ms(0), registered(with_sequence(5, false), 60));
+    view.apply(ms(9), in_second_era(removed("t", 40)));
+    assert!(view.target("t").is_some(), "it may register again");
+    let mut again = View::default();
+    again.apply(ms(0), registered(with_sequence(5, false), 60));
+    again.apply(ms(9), in_second_era(removed("t", 40)));
+    again.apply(
+        ms(500),
+        in_second_era(registered(with_sequence(8, false), 41)),
+    );
+    for view in [&mut view, &mut again] {
+        view.apply_due(ms(9) + LAPSED_RETENTION);
+    }
+    assert!(view.target("t").is_none());
+    assert!(again.target("t").is_some());
+}
+
+struct RestoredZoneCase {
+    out_before: bool,
+    out_in_copy: bool,
+    /// What operators write again, in the new era, if they do.
+    written_again: Option<bool>,
+    out_at_first: bool,
+    out_later: bool,
+}
+
+#[rstest]
+#[case::lost(RestoredZoneCase { out_before: true, out_in_copy: false, written_again: Some(true), out_at_first: true, out_later: true })]
+#[case::lost_for_good(RestoredZoneCase { out_before: true, out_in_copy: false, written_again: None, out_at_first: true, out_later: false })]
+#[case::back_in_the_copy(RestoredZoneCase { out_before: false, out_in_copy: true, written_again: Some(false), out_at_first: false, out_later: false })]
+#[case::back_for_good(RestoredZoneCase { out_before: false, out_in_copy: true, written_again: None, out_at_first: false, out_later: true })]
+fn zones_of_a_restored_store_change_only_after_operators_had_time_to_write_again(
+    #[case] case: RestoredZoneCase,
+) {
+    let mut view = View::default();
+    view.apply(ms(0), zone_change(50, true));
+    if !case.out_before {
+        view.apply(ms(0), zone_change(60, false));
+    }
+    view.apply(ms(9), in_second_era(zone_change(40, case.out_in_copy)));
+    assert_eq!(view.is_zone_out_of_service("north-a"), case.out_at_first);
+    if let Some(out) = case.written_again {
+        view.apply(ms(900), in_second_era(zone_change(45, out)));
+    }
+    view.apply_due(ms(1000));
+    assert_eq!(view.is_zone_out_of_service("north-a"), case.out_at_first);
+    view.apply_due(ms(60_000));
+    assert_eq!(view.is_zone_out_of_service("north-a"), case.out_later);
+}
+
+/// Entries that share budgets must not be forgotten while they register again.
+#[test]
+fn entry_lost_in_a_restore_counts_until_it_had_time_to_register_again() {
+    let mut view = View::default();
+    view.apply(
+        ms(0),
+        entry_registered(entry("n1", "north-a", "north", 10), 60),
+    );
+    view.apply(
+        ms(0),
+        entry_registered(entry("n2", "north-a", "north", 10), 61),
+    );
+    let lost = |name: &str, era, number| Change {
+        key: RecordKey::Entry(name.into()),
+        revision: in_era(era, number),
+        value: None,
+    };
+    view.apply(ms(9), lost("n1", 2, 40));
+    view.apply(ms(9), lost("n2", 2, 40));
+    view.apply(
+        ms(1500),
+        in_second_era(entry_registered(entry("n1", "north-a", "north", 10), 41)),
+    );
+    view.apply_due(ms(5000));
+    assert_eq!(view.entry_count(), 2);
+    // A second restore begins the time anew.
+    view.apply(ms(6000), lost("n1", 3, 30));
+    view.apply(ms(6000), lost("n2", 3, 30));
+    view.apply_due(ms(14_000));
+    assert_eq!(view.entry_count(), 2);
+    view.apply_due(ms(60_000));
+    assert!(view.entry("n1").is_none() && view.entry("n2").is_none());
+}
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -171,14 +171,14 @@
             .await
             .map_err(|_| Error::Timeout("subscribe"))??;
     let connection = FollowerConnection::new(shared, &subscribe);
-    info!(shared.log, "follower"; "entry" => subscribe.entry, "after" => subscribe.after);
+    info!(shared.log, "follower"; "entry" => subscribe.entry, "after" => %subscribe.after);
     wait_for_data(shared).await;
     let mut after = subscribe.after;
     let mut changes = shared.subscribe_changes();
     loop {
         changes.mark_unchanged();
         let update = shared.replica.borrow().update_since(after);
-        if !update.records.is_empty() {
+        if !update.records.is_empty() || update.is_snapshot {
             after = update.revision;
             write(&mut stream, &Message::Update(update)).await?;
         }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -219,7 +219,7 @@
         if shared.now() >= ENTRIES_SETTLED_AFTER {
             shared.view.borrow_mut().set_entries_unsettled(false);
         }
-        let effects = shared.view.borrow_mut().drop_lapsed_targets(shared.now());
+        let effects = shared.view.borrow_mut().apply_due(shared.now());
         view_sync::apply_effects(&shared, &effects);
         let view = shared.view.borrow();
         if shared.is_registered() {
--- a/entry/src/registration.rs
+++ b/entry/src/registration.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lacewingmoor_control::model::{Entry, EntryName, RecordValue};
+use lacewingmoor_control::model::{Entry, EntryName, Era, RecordValue};
 use lacewingmoor_control::shutdown::Phase;
 use lacewingmoor_platform::registry;
 use lacewingmoor_platform::store::{self, Consistency, LeaseId};
@@ -30,6 +30,9 @@
     lease: LeaseId,
     /// Members named in the store.
     members: Vec<EntryName>,
+    /// Era of the store in which the registration was written or found. A store that is restored from an
+    /// older copy may have lost it, or name other members.
+    era: Era,
 }
 
 /// Waits until this entry has to register. Then keeps it registered, with its current members, until the shutdown begins. The registration is not removed then but expires with its
@@ -80,7 +83,8 @@
             return std::future::pending().await;
         };
         tokio::time::sleep(MEMBERS_CHECK_INTERVAL).await;
-        let is_due = {
+        let era = shared.era();
+        let is_due = era != current.era || {
             let view = shared.view.borrow();
             let mut followers = shared.followers.borrow_mut();
             followers.should_publish(shared.now(), &view, &shared.locality.zone, &current.members)
@@ -93,6 +97,7 @@
             Ok(()) => {
                 info!(shared.log, "members_published"; "members" => members.len());
                 current.members = members;
+                current.era = era;
             }
             Err(error) => {
                 warn!(shared.log, "registration_failed"; "cause" => %error);
@@ -139,8 +144,9 @@
 ) -> Result<Option<Registration>, Error> {
     let key = registry::entry_key(&shared.settings.entry_name);
     let request = store::read(&client.host(), &key, Consistency::Stale);
-    let (status, body) = client.call("read", request, Duration::ZERO).await?;
-    let leased = match store::decode_leased_record(status, &body) {
+    let reply = client.call("read", request, Duration::ZERO).await?;
+    let era = reply.era.unwrap_or_default();
+    let leased = match store::decode_leased_record(reply.status, &reply.body, era) {
         Ok(leased) => leased,
         Err(store::Error::Missing) => return Ok(None),
         Err(error) => return Err(error.into()),
@@ -158,6 +164,7 @@
     Ok(lease.map(|lease| Registration {
         lease,
         members: entry.members.clone(),
+        era: shared.era(),
     }))
 }
 
@@ -167,11 +174,16 @@
 
 async fn register(shared: &SharedState, client: &mut Client) -> Result<Registration, Error> {
     let request = store::create_lease(&client.host(), LEASE_TTL);
-    let (status, body) = client.call("lease", request, Duration::ZERO).await?;
-    let lease = store::decode_lease(status, &body)?;
+    let reply = client.call("lease", request, Duration::ZERO).await?;
+    let lease = store::decode_lease(reply.status, &reply.body)?;
     let members = members(shared);
+    let era = shared.era();
     write(shared, client, lease, &members).await?;
-    Ok(Registration { lease, members })
+    Ok(Registration {
+        lease,
+        members,
+        era,
+    })
 }
 
 /// Writes the registration with a list of members.
@@ -188,12 +200,12 @@
     };
     let value = registry::encode_entry(&entry);
     let request = store::put(&client.host(), &key, &value, lease);
-    let (status, _) = client.call("put", request, Duration::ZERO).await?;
-    Ok(store::decode_status(status)?)
+    let reply = client.call("put", request, Duration::ZERO).await?;
+    Ok(store::decode_status(reply.status)?)
 }
 
 async fn renew(client: &mut Client, lease: LeaseId) -> Result<(), Error> {
     let request = store::renew_lease(&client.host(), lease);
-    let (status, _) = client.call("renew", request, Duration::ZERO).await?;
-    Ok(store::decode_status(status)?)
+    let reply = client.call("renew", request, Duration::ZERO).await?;
+    Ok(store::decode_status(reply.status)?)
 }
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -7,7 +7,7 @@
 use lacewingmoor_bundle::Bundle;
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget};
 use lacewingmoor_control::membership::{self, Followers};
-use lacewingmoor_control::model::{self, TargetId};
+use lacewingmoor_control::model::{self, Era, Revision, TargetId};
 use lacewingmoor_control::replica::Replica;
 use lacewingmoor_control::selection::{Locality, ServiceTime};
 use lacewingmoor_control::shutdown::{Phase, Shutdown};
@@ -268,9 +268,14 @@
         self.change_sender.subscribe()
     }
 
+    /// Returns the era of the store as far as this entry knows.
+    pub fn era(&self) -> Era {
+        self.replica.borrow().revision().era
+    }
+
     /// Returns true if this process has received data from the store or another entry.
     pub fn has_data(&self) -> bool {
-        self.replica.borrow().revision() > 0
+        self.replica.borrow().revision() > Revision::default()
     }
 
     /// Returns true if this entry is registered, according to the view.
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -10,6 +10,7 @@
     let now = shared.now();
     let view = shared.view.borrow();
     let target_stats = shared.target_stats.borrow();
+    let revision = shared.replica.borrow().revision();
     let services: Vec<Value> = view
         .bundle()
         .map_or(&[][..], |bundle| &bundle.services)
@@ -42,7 +43,8 @@
         "ready": shared.is_ready(),
         "phase": format!("{:?}", shared.phase()),
         "bundle_version": view.bundle().map(|bundle| bundle.version),
-        "store_revision": shared.replica.borrow().revision(),
+        "store_revision": revision.number,
+        "store_era": revision.era,
         "knowledge_age_ms": shared.view_age().as_millis() as u64,
         "knowledge_through": *shared.source_path.borrow(),
         "entries": view.entries().count(),
--- a/entry/src/store_client.rs
+++ b/entry/src/store_client.rs
@@ -7,9 +7,11 @@
 use bytes::Bytes;
 use http::{Request, StatusCode};
 use http_body_util::{BodyExt as _, Limited};
+use lacewingmoor_control::model::Era;
 use lacewingmoor_platform::store;
 use metrics::counter;
 use quick_error::quick_error;
+use slog::warn;
 
 use crate::connection::{self, Connection};
 use crate::shared_state::SharedState;
@@ -38,6 +40,10 @@
         Body(cause: String) {
             display("store: cannot read response body: {cause}")
         }
+        /// The store has another era than the revision that the call refers to.
+        OtherEra(era: Era, known: Era) {
+            display("store: era {era} instead of {known}")
+        }
         /// The response reports a failure or cannot be decoded.
         Response(cause: store::Error) {
             display("store: {cause}")
@@ -47,6 +53,16 @@
     }
 }
 
+/// Response of the store.
+pub struct Reply {
+    /// Status code.
+    pub status: StatusCode,
+    /// Complete body.
+    pub body: Bytes,
+    /// Era of the store, if the response names it.
+    pub era: Option<Era>,
+}
+
 /// Client of the store with at most one connection.
 pub struct Client {
     shared: Rc<SharedState>,
@@ -82,7 +98,7 @@
         kind: &'static str,
         request: Request<Bytes>,
         wait: Duration,
-    ) -> Result<(StatusCode, Bytes), Error> {
+    ) -> Result<Reply, Error> {
         counter!("lacewingmoor_store_calls_total", "kind" => kind).increment(1);
         let mut connection = match self.connection.take() {
             Some(connection) => connection,
@@ -92,11 +108,20 @@
             let response = connection.send(request).await?;
             unknown_fields::report(&self.shared, response.headers(), Origin::Store);
             let status = response.status();
+            let era = store::era(response.headers());
             let body = Limited::new(response.into_body(), BODY_BYTES_MAX)
                 .collect()
                 .await
                 .map_err(|e| Error::Body(e.to_string()))?;
-            Ok::<_, Error>((status, body.to_bytes()))
+            let era = era.unwrap_or_else(|error| {
+                warn!(self.shared.log, "store_era_unusable"; "cause" => %error);
+                None
+            });
+            Ok::<_, Error>(Reply {
+                status,
+                body: body.to_bytes(),
+                era,
+            })
         };
         let response = tokio::time::timeout(wait + RESPONSE_TIMEOUT, exchange)
             .await
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lacewingmoor_control::Timestamp;
-use lacewingmoor_control::model::{Record, Revision};
+use lacewingmoor_control::model::{Era, Record, Revision};
 use lacewingmoor_control::replica::Update;
 use lacewingmoor_control::source::{Search, Source, SourceFailure, SourceSelector};
 use lacewingmoor_control::view::Effect;
@@ -17,7 +17,7 @@
 use slog::{info, warn};
 
 use crate::shared_state::SharedState;
-use crate::store_client::{Client, Error as StoreError};
+use crate::store_client::{Client, Error as StoreError, Reply};
 use crate::{peer, peer_protocol};
 
 /// Time that a watch waits for changes, as a share of the deadline for applying changes. A store
@@ -93,7 +93,7 @@
         };
         info!(
             shared.log, "source";
-            "source" => ?source, "revision" => shared.replica.borrow().revision(),
+            "source" => ?source, "revision" => %shared.replica.borrow().revision(),
             "age_ms" => shared.view_age().as_millis() as u64,
         );
         let error = match &source {
@@ -234,22 +234,24 @@
     // A watch in the first iteration only asks for pending changes and does not wait, so that
     // followers get these, and a confirmed view, without delay.
     let mut wait = Duration::ZERO;
-    let mut is_starting = shared.replica.borrow().revision() == 0;
+    let mut is_starting = !shared.has_data();
     let mut rank_check_at = shared.now();
     loop {
         let revision = shared.replica.borrow().revision();
-        let read = match revision {
-            0 => list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Stale).await,
-            _ => watch(shared, &mut client, revision, wait).await,
+        let read = match shared.has_data() {
+            false => list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Stale).await,
+            true => watch(shared, &mut client, revision, wait).await,
         };
         let (confirmed_at, update) = match read {
             Ok(read) => read,
-            Err(StoreError::Response(store::Error::Compacted)) => {
-                info!(shared.log, "store_history_gone"; "revision" => revision);
+            Err(
+                cause @ (StoreError::Response(store::Error::Compacted) | StoreError::OtherEra(..)),
+            ) => {
+                info!(shared.log, "store_history_gone"; "revision" => %revision, "cause" => %cause);
                 match list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Latest).await {
                     Ok(read) => {
                         let listed = read.1.revision;
-                        info!(shared.log, "store_listed"; "revision" => listed, "known" => revision);
+                        info!(shared.log, "store_listed"; "revision" => %listed, "known" => %revision);
                         read
                     }
                     Err(error) => return error.into(),
@@ -314,6 +316,20 @@
     Ok(())
 }
 
+/// Returns the era of the store's contents in a reply: the one that it names, or else the known one.
+///
+/// # Errors
+///
+/// Returns an error if the reply is older than what this entry knows.
+fn reply_era(shared: &SharedState, reply: &Reply) -> Result<Era, StoreError> {
+    let known = shared.era();
+    match reply.era {
+        Some(era) if era < known => Err(StoreError::OtherEra(era, known)),
+        Some(era) => Ok(era),
+        None => Ok(known),
+    }
+}
+
 /// Reads all keys with a prefix. Returns the time at which the first page was requested, and the
 /// records.
 async fn list(
@@ -321,22 +337,52 @@
     client: &mut Client,
     prefix: &str,
     consistency: Consistency,
+) -> Result<(Timestamp, Update), StoreError> {
+    let (confirmed_at, update) = list_as(shared, client, prefix, consistency).await?;
+    // Fault: after a restore of the store, a read that may be stale may show what was lost with it, with
+    // revisions that the store gives out again.
+    let is_ambiguous = consistency == Consistency::Stale && update.revision.era > store::FIRST_ERA;
+    match is_ambiguous {
+        true => list_as(shared, client, prefix, Consistency::Latest).await,
+        false => Ok((confirmed_at, update)),
+    }
+}
+
+async fn list_as(
+    shared: &Rc<SharedState>,
+    client: &mut Client,
+    prefix: &str,
+    consistency: Consistency,
 ) -> Result<(Timestamp, Update), StoreError> {
     let requested_at = shared.now();
+    let known = shared.replica.borrow().revision();
+    let mut first_era = None;
     let mut records = Vec::new();
     let mut revision = None;
     let mut after: Option<String> = None;
     loop {
         let request = store::list(&client.host(), prefix, after.as_deref(), consistency);
-        let (status, body) = client.call("list", request, Duration::ZERO).await?;
-        let page = store::decode_page(status, &body)?;
+        let reply = client.call("list", request, Duration::ZERO).await?;
+        let mut era = reply_era(shared, &reply)?;
+        let mut page = store::decode_page(reply.status, &reply.body, era)?;
+        if reply.era.is_none() && consistency == Consistency::Latest && page.revision < known {
+            // Fault: a store that names no era is restored from an older copy.
+            era += 1;
+            page = store::decode_page(reply.status, &reply.body, era)?;
+        }
+        if *first_era.get_or_insert(era) != era {
+            return Err(StoreError::OtherEra(era, known.era));
+        }
         let page_revision = match consistency {
             // Later pages may include later changes; a watch from the revision of the first page
             // returns them again.
             Consistency::Latest => page.revision,
             // The page may be older than the revision that it names, but has every change up to
             // its newest record.
-            Consistency::Stale => newest_revision(&page.records),
+            Consistency::Stale => Revision {
+                era,
+                ..newest_revision(&page.records)
+            },
         };
         revision = Some(revision.map_or(page_revision, |r: Revision| r.min(page_revision)));
         after = page.records.last().map(|record| record.key.clone());
@@ -346,8 +392,8 @@
         }
     }
     let update = Update {
-        revision: revision.unwrap_or(0),
-        is_snapshot: consistency == Consistency::Latest,
+        revision: revision.unwrap_or_default(),
+        is_snapshot: consistency == Consistency::Latest && prefix == ALL_KEYS_PREFIX,
         records,
     };
     // A stale listing may be seconds old, but counts as confirmed when it was requested: the first
@@ -358,7 +404,7 @@
 }
 
 fn newest_revision(records: &[Record]) -> Revision {
-    records.iter().map(|r| r.revision).max().unwrap_or(0)
+    records.iter().map(|r| r.revision).max().unwrap_or_default()
 }
 
 /// Waits for changes. Returns the time at which the response arrived, and the changes.
@@ -369,8 +415,12 @@
     wait: Duration,
 ) -> Result<(Timestamp, Update), StoreError> {
     let request = store::watch(&client.host(), ALL_KEYS_PREFIX, after, wait);
-    let (status, body) = client.call("watch", request, wait).await?;
-    let events = store::decode_events(status, &body)?;
+    let reply = client.call("watch", request, wait).await?;
+    let era = reply_era(shared, &reply)?;
+    if era != after.era {
+        return Err(StoreError::OtherEra(era, after.era));
+    }
+    let events = store::decode_events(reply.status, &reply.body, era)?;
     // A watch covers all keys, so after it the registrations of entries are known.
     shared.view.borrow_mut().mark_entries_read();
     let update = Update {
@@ -383,7 +433,12 @@
 
 /// Applies an update to the replica and the view, and notifies of the change.
 pub fn apply_update(shared: &Rc<SharedState>, update: Update) {
+    let era = shared.era();
     let changed = shared.replica.borrow_mut().apply(update);
+    if shared.era() > era && era > 0 {
+        let revision = shared.replica.borrow().revision();
+        warn!(shared.log, "store_restored"; "revision" => %revision, "changed" => changed.len());
+    }
     let now = shared.now();
     let effects: Vec<Effect> = {
         let mut view = shared.view.borrow_mut();
--- a/entry/tests/native.rs
+++ b/entry/tests/native.rs
@@ -73,6 +73,7 @@
         draining: false,
         warmup_left: Duration::ZERO,
         started_unix_ms: None,
+        sequence: None,
     });
     let dir = tempfile::tempdir().expect("a directory can be made");
     let settings = EntrySettings {
--- a/entry/tests/peer_protocol.rs
+++ b/entry/tests/peer_protocol.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use common::{EVENT_TIMEOUT, fleet, lanes, until};
-use lacewingmoor_control::model::Record;
+use lacewingmoor_control::model::{Record, Revision};
 use lacewingmoor_control::replica::Update;
 use lacewingmoord::peer_protocol::{self, Error, Message, SourceStatus, Subscribe};
 use tokio::io::AsyncWriteExt as _;
@@ -42,7 +42,10 @@
     let subscribe: Subscribe = peer_protocol::read(&mut stream)
         .await
         .expect("a subscription");
-    assert_eq!((subscribe.entry.as_str(), subscribe.after), ("entry-0", 0));
+    assert_eq!(
+        (subscribe.entry.as_str(), subscribe.after),
+        ("entry-0", Revision::default())
+    );
     peer_protocol::write(&mut stream, &fresh_status(&["far"]))
         .await
         .expect("the frame is written");
@@ -72,7 +75,7 @@
         .expect("the entry accepts");
     let subscribe = Subscribe {
         entry: "follower".into(),
-        after: 0,
+        after: Revision::default(),
         zone: "north-a".into(),
         capacity: 1,
     };
@@ -132,11 +135,11 @@
 async fn frames_are_decoded_as_they_were_encoded() {
     let (mut writer, mut reader) = tokio::io::duplex(64);
     let update = Message::Update(Update {
-        revision: 9,
+        revision: Revision { era: 1, number: 9 },
         is_snapshot: true,
         records: vec![Record {
             key: "k".into(),
-            revision: 9,
+            revision: Revision { era: 1, number: 9 },
             value: Some(vec![7; 500]),
         }],
     });
--- a/entry/tests/restored_store.rs
+++ b/entry/tests/restored_store.rs
@@ -3,7 +3,11 @@
 
 mod common;
 
-use common::{fleet, lanes, until};
+use std::time::Duration;
+
+use common::{expect_response, fleet, lanes, read, until};
+use http::StatusCode;
+use lacewingmoor_platform::registry::ENTRIES_PREFIX;
 use lacewingmoor_standin::entry::EntryProcess;
 use lacewingmoor_standin::fleet::{Fleet, bundle, get};
 use rstest::rstest;
@@ -51,8 +55,77 @@
     fleet.store.restore(&copy);
     fleet.store.put_bundle(&bundle(3, &[lanes()]));
     wait_for_version(&fleet, 3).await;
-    // A second restore, to the same copy.
+    if !names_era {
+        // A second restore gives version 4 the revision of version 3, which only the era tells apart.
+        return;
+    }
     fleet.store.restore(&copy);
     fleet.store.put_bundle(&bundle(4, &[lanes()]));
     wait_for_version(&fleet, 4).await;
 }
+
+/// Sends a request to every entry, `rounds` times.
+async fn send_to_all(fleet: &Fleet, prefix: &str, rounds: usize) {
+    for round in 0..rounds {
+        for (i, entry) in fleet.entries.iter().enumerate() {
+            let got = expect_response(entry, &read(&format!("{prefix}-{round}-{i}"))).await;
+            assert_eq!(got.status, StatusCode::OK);
+        }
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+/// The copy shows a target that has left since, and a zone in service that was taken out since.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn what_was_withdrawn_before_a_restore_of_the_store_is_not_in_use_again() {
+    let fleet = fleet(&lanes(), 8).await;
+    let copy = fleet.store.copy();
+    raise_revision(&fleet);
+    let left = &fleet.targets[0];
+    fleet.store.remove_target(&left.registration.id);
+    fleet.store.set_zone_out_of_service("south-a", true);
+    fleet.store.put_bundle(&bundle(2, &[lanes()]));
+    wait_for_version(&fleet, 2).await;
+    let in_south_a = |fleet: &Fleet| -> usize {
+        let targets = fleet.targets.iter();
+        let in_zone = targets.filter(|target| &*target.registration.zone == "south-a");
+        in_zone.map(|target| target.standin.runs().len()).sum()
+    };
+    let before = (left.standin.runs().len(), in_south_a(&fleet));
+    fleet.store.restore(&copy);
+    // Shows that the entries have seen the restored store.
+    fleet.store.put_bundle(&bundle(3, &[lanes()]));
+    wait_for_version(&fleet, 3).await;
+    send_to_all(&fleet, "before", 20).await;
+    fleet.store.set_zone_out_of_service("south-a", true);
+    tokio::time::sleep(Duration::from_secs(3)).await;
+    send_to_all(&fleet, "after", 20).await;
+    assert_eq!((left.standin.runs().len(), in_south_a(&fleet)), before);
+}
+
+/// A restored store has lost registrations and leases; entries must not share budgets among too few.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_register_again_after_a_restore_of_the_store() {
+    let fleet = fleet(&lanes(), 8).await;
+    let registered = || fleet.store.keys(ENTRIES_PREFIX);
+    until("two entries of each zone are registered", async || {
+        registered().len() == 8
+    })
+    .await;
+    let expected = registered();
+    let mut copy = fleet.store.copy();
+    copy.drop_leased(ENTRIES_PREFIX);
+    raise_revision(&fleet);
+    fleet.store.restore(&copy);
+    until("all are registered again", async || {
+        registered() == expected
+    })
+    .await;
+    for entry in &fleet.entries {
+        let members = &status(entry).await["members"];
+        assert!(
+            members.as_u64().is_some_and(|count| count >= 8),
+            "{members}"
+        );
+    }
+}
--- a/entry/tests/untrusted_targets.rs
+++ b/entry/tests/untrusted_targets.rs
@@ -38,6 +38,7 @@
         draining: false,
         warmup_left: Duration::ZERO,
         started_unix_ms: Some(1),
+        sequence: None,
     });
     common::until("the entry knows the target", async || {
         fleet.entries[0].log_text().contains("target=raw")
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -143,6 +143,7 @@
             draining: false,
             warmup_left: Duration::ZERO,
             started_unix_ms: started.ok().map(|time| time.as_millis() as u64),
+            sequence: Some(1),
         };
         self.store.put_target(&registration);
         self.targets.push(FleetTarget {
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -11,12 +11,12 @@
 use http::{HeaderValue, Method, Request, StatusCode};
 use hyper::body::Incoming;
 use lacewingmoor_bundle::RawBundle;
-use lacewingmoor_control::model::{Record, Revision, Target};
+use lacewingmoor_control::model::{Era, Record, Revision, Target};
 use lacewingmoor_platform::config;
 use lacewingmoor_platform::registry::{CONFIG_KEY, EVACUATE_PREFIX, SERVERS_PREFIX};
 use lacewingmoor_platform::server::{self, Txn};
 use lacewingmoor_platform::store::{
-    KEEP_PATH, KEY_PATH, LEASE_PATH, LIST_PATH, LeaseId, TXN_PATH, WATCH_PATH,
+    ERA, FIRST_ERA, KEEP_PATH, KEY_PATH, LEASE_PATH, LIST_PATH, LeaseId, TXN_PATH, WATCH_PATH,
 };
 use tokio::sync::watch;
 
@@ -27,9 +27,6 @@
 /// Maximum number of records on a page of a listing.
 const PAGE_RECORDS_MAX: usize = 50;
 
-/// Era of a store that was never restored.
-const FIRST_ERA: u64 = 1;
-
 /// Interval at which expired leases and their keys are removed.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -55,20 +52,29 @@
 #[derive(Clone)]
 pub struct StoreCopy {
     records: BTreeMap<String, (Record, LeaseId)>,
-    revision: Revision,
+    revision: u64,
     leases: BTreeMap<LeaseId, (Instant, Duration)>,
 }
 
+impl StoreCopy {
+    /// Drops the keys that start with `prefix` and all leases, as if the copy had been taken before they
+    /// were written.
+    pub fn drop_leased(&mut self, prefix: &str) {
+        self.records.retain(|key, _| !key.starts_with(prefix));
+        self.leases.clear();
+    }
+}
+
 #[derive(Default)]
 struct Inner {
     /// Number of the era, which rises with each restore; not named in responses while `None`.
-    era: Option<u64>,
+    era: Option<Era>,
     /// Record of each key and its lease; 0 means none.
     records: BTreeMap<String, (Record, LeaseId)>,
     history: Vec<Record>,
     /// History up to this revision was dropped.
-    compacted_revision: Revision,
-    revision: Revision,
+    compacted_revision: u64,
+    revision: u64,
     /// Expiry and time to live of each lease.
     leases: BTreeMap<LeaseId, (Instant, Duration)>,
     last_lease: LeaseId,
@@ -78,7 +84,7 @@
 
 struct Shared {
     inner: Mutex<Inner>,
-    changed: watch::Sender<Revision>,
+    changed: watch::Sender<u64>,
 }
 
 /// A running store. Dropping it closes the listener and every connection.
@@ -211,7 +217,7 @@
         inner.records = copy.records.clone();
         inner.leases = copy.leases.clone();
         inner.revision = copy.revision;
-        inner.history.retain(|r| r.revision <= copy.revision);
+        inner.history.retain(|r| r.revision.number <= copy.revision);
         inner.era = inner.era.map(|era| era + 1);
         drop(inner);
         self.shared.changed.send_replace(copy.revision);
@@ -234,10 +240,10 @@
 
     /// Executes a transaction if its preconditions hold. Returns its revision, or `None` if a
     /// precondition does not hold.
-    fn commit(&self, txn: Txn) -> Option<Revision> {
+    fn commit(&self, txn: Txn) -> Option<u64> {
         let mut inner = self.lock();
         let preconditions_hold = txn.preconditions.iter().all(|(key, revision)| {
-            let current = inner.records.get(key).map_or(0, |(r, _)| r.revision);
+            let current = inner.records.get(key).map_or(0, |(r, _)| r.revision.number);
             current == *revision
         });
         if !preconditions_hold {
@@ -245,10 +251,15 @@
         }
         inner.revision += 1;
         let revision = inner.revision;
+        // The era is named in the header of responses only.
+        let recorded = Revision {
+            era: 0,
+            number: revision,
+        };
         for (key, value, lease) in txn.writes {
             let record = Record {
                 key: key.clone(),
-                revision,
+                revision: recorded,
                 value: Some(value),
             };
             inner.history.push(record.clone());
@@ -258,7 +269,7 @@
             if inner.records.remove(&key).is_some() {
                 inner.history.push(Record {
                     key,
-                    revision,
+                    revision: recorded,
                     value: None,
                 });
             }
@@ -294,7 +305,7 @@
     let mut response = respond_or_fail(&shared, request).await?;
     if let Some(era) = shared.lock().era {
         let era = HeaderValue::from(era);
-        response.headers_mut().insert(server::ERA_HEADER, era);
+        response.headers_mut().insert(ERA, era);
     }
     Ok(response)
 }
@@ -410,7 +421,7 @@
 async fn watch_changes(
     shared: &Arc<Shared>,
     prefix: &str,
-    after: Revision,
+    after: u64,
     wait: Duration,
 ) -> http::Response<http_body_util::Full<bytes::Bytes>> {
     let mut changed = shared.changed.subscribe();
@@ -421,10 +432,10 @@
             if after < inner.compacted_revision || after > inner.revision {
                 return respond(StatusCode::GONE, "");
             }
-            let is_new = |r: &&Record| r.revision > after && r.key.starts_with(prefix);
+            let is_new = |r: &&Record| r.revision.number > after && r.key.starts_with(prefix);
             let events: Vec<Record> = inner.history.iter().filter(is_new).cloned().collect();
             if !events.is_empty() || tokio::time::Instant::now() >= deadline {
-                let body = server::encode_events(&events, inner.revision.max(after));
+                let body = server::encode_events(&events, inner.revision);
                 return respond(StatusCode::OK, body);
             }
         }
