--- a/control/src/replica.rs
+++ b/control/src/replica.rs
@@ -57,8 +57,9 @@
             .into_iter()
             .filter(|r| self.insert_if_newer(r))
             .collect();
-        if update.revision.era > self.revision.era {
-            // Followers may have keys of the earlier era of which this entry knows nothing.
+        let is_first = self.revision == Revision::default();
+        if is_first || update.revision.era > self.revision.era {
+            // Followers may have keys that were removed, or lost, before this entry knew of them.
             self.compacted_revision = update.revision;
         }
         self.revision = self.revision.max(update.revision);
--- a/control/tests/replica.rs
+++ b/control/tests/replica.rs
@@ -3,8 +3,9 @@
 mod common;
 
 use common::{in_era, rev};
-use lacewingmoor_control::model::{Record, Revision};
+use lacewingmoor_control::model::{Era, Record, Revision};
 use lacewingmoor_control::replica::{Replica, Update};
+use rstest::rstest;
 
 fn record(key: &str, revision: u64, value: Option<&str>) -> Record {
     Record {
@@ -181,3 +182,29 @@
     replica.apply(in_second_era(90, false, &[("b", 90)]));
     assert_eq!(keys(&replica), [("c".into(), in_era(3, 30))]);
 }
+
+/// The source started after a key was removed that its follower still has.
+#[rstest]
+#[case::era_is_named(1)]
+#[case::era_is_not_named(0)]
+fn follower_of_a_source_that_has_just_started_drops_what_was_removed_before(#[case] era: Era) {
+    let revision = |number| Revision { era, number };
+    let written = |key: &str, number| Record {
+        revision: revision(number),
+        ..record(key, 0, Some(""))
+    };
+    let mut follower = Replica::default();
+    follower.apply(Update {
+        revision: revision(3),
+        is_snapshot: false,
+        records: vec![written("kept", 2), written("removed", 3)],
+    });
+    let mut source = Replica::default();
+    source.apply(Update {
+        revision: revision(9),
+        is_snapshot: false,
+        records: vec![written("kept", 2), written("new", 9)],
+    });
+    follower.apply(source.update_since(follower.revision()));
+    assert_eq!(keys(&follower), keys(&source));
+}
