Restore the store and limit a target in the soak, and keep callers' connections open

The soak covered neither a store that is restored from an older copy nor a target that names a limit, and all its callers opened a connection for each request.

--- a/standin/examples/soak.rs
+++ b/standin/examples/soak.rs
@@ -1,12 +1,14 @@
 //! Randomised fault test of entry processes.
 //!
-//!     soak --seed 1 --seeds 50 --seconds 12
+//!     soak --seed 1 --seeds 50 --seconds 12 --entries 6
 //!
 //! Relays delay, stall (both directions or one) or reset the entries' connections to the store.
 //! Entries are stopped by SIGTERM, paused, killed, reloaded and restarted. Targets fail in every
-//! way of their stand-in and report themselves unhealthy at random. The store delays, rejects or
-//! drops calls, hangs, loses responses and drops its history. New bundles are written, and zones
-//! are taken out of service and returned to service.
+//! way of their stand-in and report themselves unhealthy at random, and some name limits on their
+//! rate. The store delays, rejects or drops calls, hangs, loses responses, drops its history, and is
+//! restored from older copies of its contents, after which operators and targets write again what was
+//! lost. New bundles are written, and zones are taken out of service and returned to service. Half of the
+//! callers keep their connections for as long as these stay open.
 //!
 //! Checks for each seed that
 //!
@@ -14,12 +16,14 @@
 //! - a success response is signed, complete and belongs to its request;
 //! - a response with status 503 means that a run-once request was not run, and has `Retry-After`;
 //! - targets are not probed above the limit;
+//! - targets get no more than the limit that they name from entries that were told, apart from those that
+//!   were stopped, paused or killed shortly before;
 //! - no entry panics, or exits without having been stopped by SIGTERM or killed;
 //! - all entries recover after the last fault.
 //!
 //! Exits with 1 if a check fails, and prints the seed.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::sync::{Arc, Mutex};
@@ -28,16 +32,15 @@
 use argh::FromArgs;
 use bytes::Bytes;
 use http::{Method, StatusCode};
-use lacewingmoor_standin::caller::{CallerRequest, RequestResult, send_request};
+use lacewingmoor_standin::caller::{CallerRequest, KeptConnection, RequestResult, send_request};
 use lacewingmoor_standin::fleet::{Fleet, HOST, ServiceSpec, ZONES, bundle};
 use lacewingmoor_standin::relay::{NetworkFault, Relay};
+use lacewingmoor_standin::store::StoreCopy;
+use lacewingmoor_standin::target::LimitScope;
 use lacewingmoor_standin::{store, target};
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-/// Number of entries.
-const ENTRY_COUNT: usize = 6;
-
 /// Home region of the route for requests that may run only once.
 const HOME_REGION: &str = "north";
 
@@ -54,6 +57,26 @@
 /// Interval at which a caller sends requests.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(8);
 
+/// Limit that the limited target names, in requests per second.
+const LIMIT_PER_S: f64 = 2.0;
+
+/// Length of the windows in which requests to the limited target are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+
+/// Time after the first response to an entry that names the limit from which on the entry must keep to
+/// it.
+const LIMIT_GRACE: Duration = Duration::from_millis(500);
+
+/// Time after the limit was first named from which on it is checked, and after a fault of an entry until
+/// which its requests are not counted.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Share of the steps in which the store is also copied or restored.
+const COPY_OR_RESTORE_SHARE: f64 = 0.2;
+
+/// Copies of the store's contents that are kept to restore it from.
+const STORE_COPIES_MAX: usize = 4;
+
 /// Time after the last fault within which every entry must be ready with the newest bundle.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
@@ -69,6 +92,9 @@
     /// seconds of faults for each seed
     #[argh(option, default = "10")]
     seconds: u64,
+    /// number of entries
+    #[argh(option, default = "6")]
+    entries: usize,
 }
 
 #[tokio::main]
@@ -76,7 +102,7 @@
     let args: Args = argh::from_env();
     let mut failed_seeds = 0;
     for seed in args.seed..args.seed + args.seeds {
-        let result = run(seed, Duration::from_secs(args.seconds)).await;
+        let result = run(seed, Duration::from_secs(args.seconds), args.entries).await;
         match result {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(failure) => {
@@ -104,14 +130,14 @@
         .expect("no thread panics while it holds the lock")
 }
 
-async fn run(seed: u64, duration: Duration) -> Result<String, String> {
+async fn run(seed: u64, duration: Duration, entry_count: usize) -> Result<String, String> {
     let service = ServiceSpec {
         targets_per_zone: 2,
         service_time: Duration::from_millis(10),
         response_bytes: 2000,
         ..ServiceSpec::small("lanes")
     };
-    let mut soak = Soak::start(seed, service)
+    let mut soak = Soak::start(seed, service, entry_count)
         .await
         .map_err(|e| e.to_string())?;
     let observations = Observations::default();
@@ -121,7 +147,12 @@
         .enumerate()
         .map(|(i, addr)| {
             let observations = observations.clone();
-            tokio::spawn(async move { run_caller(seed, i, addr, observations).await })
+            tokio::spawn(async move {
+                match i % 2 {
+                    0 => run_caller(seed, i, addr, observations).await,
+                    _ => run_caller_with_kept_connection(seed, i, addr, observations).await,
+                }
+            })
         })
         .collect();
     let started = Instant::now();
@@ -139,6 +170,7 @@
     let panicked = soak.panic_line();
     check_responses(&lock(&observations), &soak.fleet)?;
     check_targets(&lock(&observations), &soak.fleet, started.elapsed())?;
+    check_limit(&soak)?;
     if let Some(log) = panicked {
         return Err(log);
     }
@@ -231,6 +263,78 @@
     Ok(())
 }
 
+/// Checks the requests that the limited target received from entries that it had told its limit. Guards
+/// against a sum over all entries that is above the limit.
+fn check_limit(soak: &Soak) -> Result<(), String> {
+    let target = &soak.fleet.targets[soak.limited_target];
+    let mut told_at: HashMap<usize, Instant> = HashMap::new();
+    let mut first_told_at = None;
+    let mut counted: Vec<Instant> = Vec::new();
+    for run in target.standin.runs() {
+        let at = run.arrived_at;
+        let mut parts = run.request_id.split('-');
+        let entry = parts.nth(1).and_then(|part| part.parse().ok());
+        let entry: usize = entry.ok_or("request ids name the entry")?;
+        let faults = soak.disturbed_at[entry].iter();
+        let mut recent = faults.filter(|fault| **fault <= at && at < **fault + CONTACT_TIME);
+        if recent.next().is_some() {
+            // It may have been restarted and knows nothing of the limit.
+            told_at.remove(&entry);
+            continue;
+        }
+        let told = *told_at.entry(entry).or_insert(at);
+        first_told_at.get_or_insert(told);
+        if at >= told + LIMIT_GRACE {
+            counted.push(at);
+        }
+    }
+    let Some(from) = first_told_at.map(|at| at + CONTACT_TIME) else {
+        return Ok(());
+    };
+    let allowed = 1.5 * LIMIT_PER_S * LIMIT_WINDOW.as_secs_f64() + 5.0;
+    for (i, start) in counted.iter().enumerate().filter(|(_, at)| **at >= from) {
+        let in_window = counted[i..]
+            .iter()
+            .take_while(|at| **at < *start + LIMIT_WINDOW);
+        let count = in_window.count();
+        if count as f64 > allowed {
+            return Err(format!(
+                "{} got {count} requests in {LIMIT_WINDOW:?}, {allowed} allowed",
+                target.registration.id
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Returns the `i`th request of a caller, and whether it may run only once.
+fn request(seed: u64, caller: usize, i: usize) -> (CallerRequest, bool) {
+    let run_once = i.is_multiple_of(3);
+    let (method, path, body) = match run_once {
+        true => (Method::POST, "/lanes/write/1", Bytes::from_static(b"x")),
+        false => (Method::GET, "/lanes/read/1", Bytes::new()),
+    };
+    let request = CallerRequest {
+        id: format!("{seed}-{caller}-{i}"),
+        method,
+        host: HOST.into(),
+        path: path.into(),
+        body,
+        timeout: Duration::from_secs(2),
+    };
+    (request, run_once)
+}
+
+fn record(observations: &Observations, id: String, run_once: bool, result: RequestResult) {
+    let mut observations = lock(observations);
+    let results = Vec::new();
+    let observed = observations
+        .entry(id)
+        .or_insert(Observed { run_once, results });
+    observed.results.push(result);
+}
+
+/// Sends requests at a fixed interval, each on a connection of its own.
 async fn run_caller(
     seed: u64,
     caller: usize,
@@ -238,43 +342,50 @@
     observations: Observations,
 ) {
     for i in 0.. {
-        let run_once = i % 3 == 0;
-        let id = format!("{seed}-{caller}-{i}");
-        let request = CallerRequest {
-            id: id.clone(),
-            method: if run_once { Method::POST } else { Method::GET },
-            host: HOST.into(),
-            path: if run_once {
-                "/lanes/write/1"
-            } else {
-                "/lanes/read/1"
-            }
-            .into(),
-            body: if run_once {
-                Bytes::from_static(b"x")
-            } else {
-                Bytes::new()
-            },
-            timeout: Duration::from_secs(2),
-        };
+        let (request, run_once) = request(seed, caller, i);
         let observations = observations.clone();
         tokio::spawn(async move {
             let result = send_request(addr, &request).await;
-            let mut observations = lock(&observations);
-            let results = Vec::new();
-            let observed = observations
-                .entry(id)
-                .or_insert(Observed { run_once, results });
-            observed.results.push(result);
+            record(&observations, request.id, run_once, result);
         });
         tokio::time::sleep(REQUEST_INTERVAL).await;
     }
 }
 
+/// Sends one request after the other on a connection, which is kept until it closes or a response asks to
+/// close it.
+async fn run_caller_with_kept_connection(
+    seed: u64,
+    caller: usize,
+    addr: std::net::SocketAddr,
+    observations: Observations,
+) {
+    let mut connection = None;
+    for i in 0.. {
+        if connection.is_none() {
+            connection = KeptConnection::open(addr).await;
+        }
+        if let Some(open) = &mut connection {
+            let (request, run_once) = request(seed, caller, i);
+            let result = open.send(&request).await;
+            let stays_open =
+                matches!(&result, RequestResult::Response(response) if !response.closes_connection);
+            record(&observations, request.id, run_once, result);
+            if !stays_open {
+                connection = None;
+            }
+        }
+        tokio::time::sleep(REQUEST_INTERVAL).await;
+    }
+}
+
 struct Soak {
     fleet: Fleet,
     relays: Vec<Relay>,
     rng: StdRng,
+    /// Draws copies and restores of the store and the limited target. The draws of `rng`, and so the faults
+    /// of a seed, do not depend on it.
+    store_rng: StdRng,
     version: u64,
     service: ServiceSpec,
     /// Entries that were stopped by SIGTERM or killed, or exited unexpectedly, and are not yet
@@ -283,23 +394,46 @@
     /// Entries that exited without being stopped by SIGTERM or killed.
     unexpected_exits: Vec<usize>,
     faults: u64,
+    /// Index of the target that names a limit.
+    limited_target: usize,
+    /// Times at which each entry was stopped, paused, killed, resumed or restarted.
+    disturbed_at: Vec<Vec<Instant>>,
+    paused: HashSet<usize>,
+    store_copies: Vec<StoreCopy>,
+    zones_out: HashSet<&'static str>,
 }
 
 impl Soak {
-    async fn start(seed: u64, service: ServiceSpec) -> std::io::Result<Self> {
+    async fn start(seed: u64, service: ServiceSpec, entry_count: usize) -> std::io::Result<Self> {
         let mut fleet = Fleet::start(&entry_binary(), std::slice::from_ref(&service), 0).await?;
         let mut relays = Vec::new();
-        for i in 0..ENTRY_COUNT {
+        for i in 0..entry_count {
             let relay = Relay::start(fleet.store.addr()).await?;
             let (zone, _) = ZONES[i % ZONES.len()];
             fleet.add_entry(&format!("entry-{i}"), zone, relay.addr())?;
             relays.push(relay);
         }
         fleet.wait_ready(Duration::from_secs(30)).await?;
+        let rng = StdRng::seed_from_u64(seed);
+        let mut store_rng = StdRng::seed_from_u64(!seed);
+        let limited_target = store_rng.random_range(0..fleet.targets.len());
+        let scope = match store_rng.random_bool(0.5) {
+            true => LimitScope::AllResponses,
+            false => LimitScope::Requests,
+        };
+        let limit = LIMIT_PER_S.to_string();
+        let target = &fleet.targets[limited_target];
+        target.standin.set_limit(Some((&limit, scope)));
         Ok(Self {
             fleet,
             relays,
-            rng: StdRng::seed_from_u64(seed),
+            limited_target,
+            disturbed_at: vec![Vec::new(); entry_count],
+            paused: HashSet::new(),
+            store_copies: Vec::new(),
+            zones_out: HashSet::new(),
+            rng,
+            store_rng,
             version: 1,
             service,
             down: Vec::new(),
@@ -312,7 +446,7 @@
     /// network, of a target or of the store, write a bundle, return a zone to service, or do nothing.
     fn inject_fault(&mut self) {
         self.faults += 1;
-        let entry = self.rng.random_range(0..ENTRY_COUNT);
+        let entry = self.rng.random_range(0..self.relays.len());
         match self.rng.random_range(0..12) {
             0 => self.relays[entry].set_fault(NetworkFault::Stall),
             1 => self.relays[entry].set_fault(NetworkFault::StallFromClient),
@@ -324,7 +458,11 @@
                 .for_each(|relay| relay.set_fault(NetworkFault::None)),
             5 => self.signal(entry, libc::SIGKILL),
             6 => self.signal(entry, libc::SIGTERM),
-            7 if self.rng.random_bool(0.5) => self.fleet.entries[entry].signal(libc::SIGSTOP),
+            7 if self.rng.random_bool(0.5) => {
+                self.paused.insert(entry);
+                self.disturbed_at[entry].push(Instant::now());
+                self.fleet.entries[entry].signal(libc::SIGSTOP);
+            }
             // SIGHUP kills a process that has not installed its handler yet.
             7 if self.fleet.entries[entry].handles_signal(libc::SIGHUP) => {
                 self.fleet.entries[entry].signal(libc::SIGHUP);
@@ -339,13 +477,47 @@
             }
             _ => {
                 let (zone, _) = ZONES[self.rng.random_range(0..ZONES.len())];
-                let out = self.rng.random_bool(0.5);
-                self.fleet.store.set_zone_out_of_service(zone, out);
+                match self.rng.random_bool(0.5) {
+                    true => self.zones_out.insert(zone),
+                    false => self.zones_out.remove(zone),
+                };
+                self.write_zone(zone);
+            }
+        }
+        if self.store_rng.random_bool(COPY_OR_RESTORE_SHARE) {
+            self.copy_or_restore_store();
+        }
+    }
+
+    fn write_zone(&self, zone: &str) {
+        let out = self.zones_out.contains(zone);
+        self.fleet.store.set_zone_out_of_service(zone, out);
+    }
+
+    /// Keeps a copy of the store's contents, or restores the store from an earlier one. Operators and
+    /// targets then write again what was lost.
+    fn copy_or_restore_store(&mut self) {
+        if self.store_copies.is_empty() || self.store_rng.random_bool(0.5) {
+            self.store_copies.push(self.fleet.store.copy());
+            if self.store_copies.len() > STORE_COPIES_MAX {
+                self.store_copies.remove(0);
             }
+            return;
+        }
+        let copy = self.store_rng.random_range(0..self.store_copies.len());
+        self.fleet.store.restore(&self.store_copies[copy]);
+        let bundle = bundle(self.version, std::slice::from_ref(&self.service));
+        self.fleet.store.put_bundle(&bundle);
+        for (zone, _) in ZONES {
+            self.write_zone(zone);
+        }
+        for target in &self.fleet.targets {
+            self.fleet.store.put_target(&target.registration);
         }
     }
 
     fn signal(&mut self, entry: usize, signal: i32) {
+        self.disturbed_at[entry].push(Instant::now());
         if !self.down.contains(&entry) {
             self.fleet.entries[entry].signal(signal);
             self.down.push(entry);
@@ -390,7 +562,7 @@
     /// that were sent SIGTERM, since a paused process does not handle it, and with a probability of
     /// one half all other paused ones at once.
     fn restart_entries(&mut self) {
-        for entry in 0..ENTRY_COUNT {
+        for entry in 0..self.relays.len() {
             if !self.down.contains(&entry) && self.fleet.entries[entry].has_exited() {
                 self.unexpected_exits.push(entry);
                 self.down.push(entry);
@@ -405,14 +577,20 @@
             if process.has_exited() {
                 // An entry that cannot be started is reported as not recovered.
                 let _ = process.restart();
+                self.disturbed_at[entry].push(Instant::now());
             } else {
                 self.down.push(entry);
             }
         }
         if self.rng.random_bool(0.5) {
-            for entry in &self.fleet.entries {
-                entry.signal(libc::SIGCONT);
-            }
+            self.resume_paused();
+        }
+    }
+
+    fn resume_paused(&mut self) {
+        for entry in self.paused.drain() {
+            self.fleet.entries[entry].signal(libc::SIGCONT);
+            self.disturbed_at[entry].push(Instant::now());
         }
     }
 
@@ -421,8 +599,9 @@
             .iter()
             .for_each(|relay| relay.set_fault(NetworkFault::None));
         self.fleet.store.set_fault(store::StoreFault::None);
+        self.zones_out.clear();
         for (zone, _) in ZONES {
-            self.fleet.store.set_zone_out_of_service(zone, false);
+            self.write_zone(zone);
         }
         for target in &self.fleet.targets {
             target.standin.set_fault(target::TargetFault::None);
@@ -433,6 +612,7 @@
     /// Waits until every entry is ready with the newest bundle.
     async fn wait_recovered(&mut self) -> Result<(), String> {
         let deadline = Instant::now() + RECOVERY_TIMEOUT;
+        self.resume_paused();
         loop {
             self.restart_entries();
             let mut unrecovered = Vec::new();
--- a/standin/src/caller.rs
+++ b/standin/src/caller.rs
@@ -6,10 +6,11 @@
 use bytes::Bytes;
 use http::{Method, Request, StatusCode};
 use http_body_util::{BodyExt as _, Full};
-use hyper::client::conn::http1;
+use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use lacewingmoor_platform::headers;
 use tokio::net::TcpStream;
+use tokio::task::JoinHandle;
 
 /// A request of a caller.
 #[derive(Clone, Debug)]
@@ -71,6 +72,38 @@
     }
 }
 
+/// Connection of a caller that sends one request after the other on it for as long as it stays open.
+pub struct KeptConnection {
+    sender: SendRequest<Full<Bytes>>,
+    driver: JoinHandle<hyper::Result<()>>,
+}
+
+impl KeptConnection {
+    /// Opens a connection; `None` if that fails.
+    pub async fn open(addr: SocketAddr) -> Option<Self> {
+        let stream = TcpStream::connect(addr).await.ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let driver = tokio::spawn(connection);
+        Some(Self { sender, driver })
+    }
+
+    /// Sends a request and waits for the response. After any other result than a response that leaves the
+    /// connection open, it must not be used again.
+    pub async fn send(&mut self, request: &CallerRequest) -> RequestResult {
+        let exchange = send_on(&mut self.sender, request, Instant::now());
+        match tokio::time::timeout(request.timeout, exchange).await {
+            Ok(Some(response)) => RequestResult::Response(response),
+            Ok(None) | Err(_) => RequestResult::NoResponse,
+        }
+    }
+}
+
+impl Drop for KeptConnection {
+    fn drop(&mut self) {
+        self.driver.abort();
+    }
+}
+
 async fn exchange(
     stream: TcpStream,
     request: &CallerRequest,
@@ -78,6 +111,17 @@
 ) -> Option<ReceivedResponse> {
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     let driver = tokio::spawn(connection);
+    let response = send_on(&mut sender, request, sent_at).await;
+    driver.abort();
+    response
+}
+
+async fn send_on(
+    sender: &mut SendRequest<Full<Bytes>>,
+    request: &CallerRequest,
+    sent_at: Instant,
+) -> Option<ReceivedResponse> {
+    sender.ready().await.ok()?;
     let http_request = Request::builder()
         .method(request.method.clone())
         .uri(&request.path)
@@ -89,7 +133,6 @@
     let response = sender.send_request(http_request).await.ok()?;
     let (head, body) = response.into_parts();
     let body = body.collect().await.ok()?.to_bytes();
-    driver.abort();
     let text = |name| head.headers.get(name).and_then(|v| v.to_str().ok());
     // Parsed as a fraction of seconds, because entries send one.
     let retry_after = text(http::header::RETRY_AFTER).and_then(|text| text.parse().ok());
