Keep idle connections within what targets accept from all entries

Change: the idle connections of all entries take up to half of the smallest connections_max; each entry has an equal part, at most three, once it knows the others. Connections in use are bounded by requests and probes in flight as before.

--- a/control/src/sharing.rs
+++ b/control/src/sharing.rs
@@ -12,6 +12,9 @@
 
 use std::time::Duration;
 
+/// Part of the connections that a target accepts which may be idle.
+const IDLE_CONNECTIONS_SHARE: f64 = 0.5;
+
 /// Part of a limit that entries other than the senders use to find out whether it still holds.
 const TRIAL_SHARE: f64 = 0.1;
 
@@ -50,6 +53,16 @@
     Duration::from_secs_f64(entry_count as f64 / trial_rate_per_s * (1.0 + draw))
 }
 
+/// Returns how many idle connections to one target an entry keeps if the target accepts
+/// `connections_max` from all entries together.
+///
+/// Load pattern: hundreds of entries each keep connections for their next probes. Idle ones must not take
+/// what requests and probes in flight need, since a target resets those beyond its maximum.
+pub fn idle_connections_max(connections_max: u32, entry_count: usize) -> usize {
+    let idle = f64::from(connections_max) * IDLE_CONNECTIONS_SHARE;
+    (idle / entry_count as f64) as usize
+}
+
 /// Returns the interval after which each of `entry_count` entries probes a target that it must not send
 /// to, to find out whether its limit still holds.
 pub fn refresh_interval(entry_count: usize) -> Duration {
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -1,6 +1,6 @@
 //! Connections to targets and to the store, and the pool of idle connections.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
@@ -152,9 +152,18 @@
 }
 
 /// Idle connections by address.
-#[derive(Default)]
 pub struct Pool {
     idle: RefCell<Map<SocketAddr, VecDeque<IdleConnection>>>,
+    idle_per_addr_max: Cell<usize>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            idle: RefCell::default(),
+            idle_per_addr_max: Cell::new(IDLE_PER_ADDR_MAX),
+        }
+    }
 }
 
 impl Pool {
@@ -193,19 +202,25 @@
         }
         let mut idle = self.idle.borrow_mut();
         let connections = idle.entry(connection.addr).or_default();
-        if connections.len() >= IDLE_PER_ADDR_MAX {
-            connections.pop_front();
-        }
         connections.push_back(IdleConnection {
             connection,
             since: Instant::now(),
         });
+        self.close_surplus(connections);
         let total: usize = idle.values().map(VecDeque::len).sum();
         if total > IDLE_TOTAL_MAX {
             close_oldest(&mut idle);
         }
     }
 
+    /// Closes the connections of one address that have been idle for longest, above the maximum.
+    fn close_surplus(&self, connections: &mut VecDeque<IdleConnection>) {
+        let surplus = connections
+            .len()
+            .saturating_sub(self.idle_per_addr_max.get());
+        connections.drain(..surplus);
+    }
+
     /// Returns the number of idle connections.
     pub fn len(&self) -> usize {
         self.idle.borrow().values().map(VecDeque::len).sum()
@@ -216,6 +231,11 @@
         self.len() == 0
     }
 
+    /// Sets the maximum number of idle connections per address, up to [`IDLE_PER_ADDR_MAX`].
+    pub fn set_idle_per_addr_max(&self, max: usize) {
+        self.idle_per_addr_max.set(max.min(IDLE_PER_ADDR_MAX));
+    }
+
     /// Closes connections that have been idle for too long and drops those that the remote end
     /// closed.
     pub fn prune(&self) {
@@ -224,6 +244,7 @@
             connections.retain(|pooled| {
                 pooled.since.elapsed() < IDLE_TIMEOUT && !pooled.connection.is_closed()
             });
+            self.close_surplus(connections);
             !connections.is_empty()
         });
     }
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, SystemTime};
 
+use lacewingmoor_control::sharing;
 use lacewingmoor_control::shutdown::Phase;
 use slog::{info, warn};
 use tokio::net::TcpListener;
@@ -212,6 +213,7 @@
 async fn housekeeping(shared: Rc<SharedState>) {
     loop {
         tokio::time::sleep(HOUSEKEEPING_INTERVAL).await;
+        limit_idle_connections(&shared);
         shared.pool.prune();
         if shared.now() >= ENTRIES_READ_DEADLINE {
             shared.view.borrow_mut().mark_entries_overdue();
@@ -232,6 +234,19 @@
     }
 }
 
+/// Limits the idle connections to this entry's share of those that targets accept, once it knows the
+/// other entries.
+fn limit_idle_connections(shared: &SharedState) {
+    let view = shared.view.borrow();
+    let services = view.bundle().map_or(&[][..], |bundle| &bundle.services);
+    let smallest = services.iter().map(|service| service.connections_max).min();
+    if let (Some(connections_max), true) = (smallest, view.has_read_entries()) {
+        let entry_count = view.entry_count();
+        let max = sharing::idle_connections_max(connections_max, entry_count);
+        shared.pool.set_idle_per_addr_max(max);
+    }
+}
+
 async fn write_log() {
     loop {
         tokio::time::sleep(log::WRITE_INTERVAL).await;
--- a/entry/tests/limits.rs
+++ b/entry/tests/limits.rs
@@ -9,7 +9,7 @@
 use common::{EVENT_TIMEOUT, expect_response, fleet, lanes, read};
 use http::StatusCode;
 use lacewingmoor_standin::caller::{RequestResult, send_request};
-use lacewingmoor_standin::fleet::Fleet;
+use lacewingmoor_standin::fleet::{Fleet, bundle};
 use lacewingmoor_standin::target::LimitScope;
 use rstest::rstest;
 
@@ -128,3 +128,20 @@
     let runs = fleet.targets.iter().flat_map(|t| t.standin.runs());
     assert_eq!(runs.count(), 0, "no request ran");
 }
+
+/// Idle connections of hundreds of entries would take all that a target accepts.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn idle_connections_of_all_entries_leave_room_at_a_target() {
+    let fleet = fleet(&lanes(), 8).await;
+    let mut bundle = bundle(2, &[lanes()]);
+    bundle.services[0].connections_max = 2;
+    fleet.store.put_bundle(&bundle);
+    tokio::time::sleep(Duration::from_secs(2)).await;
+    let (served, failed) = send_for(&fleet, "r", Duration::from_secs(2)).await;
+    assert!(served > 0 && failed == 0, "{served} served, {failed} not");
+    // Shorter than the time after which an idle connection is closed in any case.
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let open = fleet.targets.iter().map(|t| t.standin.open_connections());
+    let open: Vec<usize> = open.collect();
+    assert!(open.iter().all(|open| *open <= 2), "{open:?}");
+}
--- a/standin/src/http_server.rs
+++ b/standin/src/http_server.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -20,6 +22,7 @@
 #[derive(Debug)]
 pub struct Server {
     addr: SocketAddr,
+    open_connections: Arc<AtomicUsize>,
     task: JoinHandle<()>,
 }
 
@@ -36,8 +39,18 @@
     {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let task = tokio::spawn(accept(listener, handler));
-        Ok(Self { addr, task })
+        let open_connections = Arc::new(AtomicUsize::new(0));
+        let task = tokio::spawn(accept(listener, handler, open_connections.clone()));
+        Ok(Self {
+            addr,
+            open_connections,
+            task,
+        })
+    }
+
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.open_connections.load(Ordering::Relaxed)
     }
 
     /// Returns the bound address.
@@ -57,7 +70,7 @@
     }
 }
 
-async fn accept<H, F>(listener: TcpListener, handler: H)
+async fn accept<H, F>(listener: TcpListener, handler: H, open_connections: Arc<AtomicUsize>)
 where
     H: Fn(Request<Incoming>) -> F + Clone + Send + Sync + 'static,
     F: Future<Output = HandlerResult> + Send + 'static,
@@ -72,12 +85,15 @@
             continue;
         };
         let handler = handler.clone();
+        let open_connections = open_connections.clone();
         connections.spawn(async move {
+            open_connections.fetch_add(1, Ordering::Relaxed);
             // Errors are ignored because tests break connections on purpose.
             let _ = stream.set_nodelay(true);
             let _ = http1::Builder::new()
                 .serve_connection(TokioIo::new(stream), service_fn(handler))
                 .await;
+            open_connections.fetch_sub(1, Ordering::Relaxed);
         });
     }
 }
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -177,6 +177,11 @@
         self.shared.lock().cancelled_count
     }
 
+    /// Returns the number of open connections.
+    pub fn open_connections(&self) -> usize {
+        self.server.open_connections()
+    }
+
     /// Closes the listener and every connection.
     pub fn stop(&self) {
         self.server.stop();
