Register the first entry before a test starts the second one

Traced: the fleet counts as started when its entry is ready, which is before the entry is registered. If the store becomes slow in between, the second entry finds nobody to follow and waits for its registration delay, longer than a request waits for a bundle.

That an entry that finds nobody waits before it lists all keys is intended: entries of a new fleet would each take five calls. It is not ready during that time, so no callers are sent to it.

Change: the test waits until the entry is registered.

--- a/entry/tests/recovery.rs
+++ b/entry/tests/recovery.rs
@@ -12,6 +12,7 @@
 use common::{EVENT_TIMEOUT, expect_response, fleet, lanes, read, until};
 use http::StatusCode;
 use lacewingmoor_platform::READY_PATH;
+use lacewingmoor_platform::registry::ENTRIES_PREFIX;
 use lacewingmoor_standin::caller::CallerRequest;
 use lacewingmoor_standin::entry::EntryProcess;
 use lacewingmoor_standin::fleet::{Fleet, bundle, get, get_status};
@@ -409,6 +410,11 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn request_that_arrives_before_the_first_bundle_is_served() {
     let mut fleet = fleet(&lanes(), 1).await;
+    // Otherwise the other entry finds nobody to follow, and waits before it lists all keys itself.
+    until("the entry is registered", async || {
+        !fleet.store.keys(ENTRIES_PREFIX).is_empty()
+    })
+    .await;
     // Shorter than `BUNDLE_WAIT` of `request`, so that the bundle arrives while the request waits.
     fleet
         .store
