--- a/standin/examples/soak.rs
+++ b/standin/examples/soak.rs
@@ -95,6 +95,9 @@
     /// number of entries
     #[argh(option, default = "6")]
     entries: usize,
+    /// directory to which the logs of the entries of broken seeds are copied
+    #[argh(option)]
+    logs: Option<PathBuf>,
 }
 
 #[tokio::main]
@@ -102,7 +105,13 @@
     let args: Args = argh::from_env();
     let mut failed_seeds = 0;
     for seed in args.seed..args.seed + args.seeds {
-        let result = run(seed, Duration::from_secs(args.seconds), args.entries).await;
+        let result = run(
+            seed,
+            Duration::from_secs(args.seconds),
+            args.entries,
+            args.logs.as_deref(),
+        )
+        .await;
         match result {
             Ok(summary) => println!("seed {seed}: {summary}"),
             Err(failure) => {
@@ -130,7 +139,12 @@
         .expect("no thread panics while it holds the lock")
 }
 
-async fn run(seed: u64, duration: Duration, entry_count: usize) -> Result<String, String> {
+async fn run(
+    seed: u64,
+    duration: Duration,
+    entry_count: usize,
+    logs_dir: Option<&Path>,
+) -> Result<String, String> {
     let service = ServiceSpec {
         targets_per_zone: 2,
         service_time: Duration::from_millis(10),
@@ -167,22 +181,38 @@
     for caller in callers {
         caller.abort();
     }
-    let panicked = soak.panic_line();
-    check_responses(&lock(&observations), &soak.fleet)?;
-    check_targets(&lock(&observations), &soak.fleet, started.elapsed())?;
-    check_limit(&soak)?;
-    if let Some(log) = panicked {
+    let checked = check(&soak, &lock(&observations), started.elapsed(), recovered);
+    if checked.is_err()
+        && let Some(dir) = logs_dir
+    {
+        soak.copy_logs(dir, seed).map_err(|e| e.to_string())?;
+    }
+    checked?;
+    let count = lock(&observations).len();
+    Ok(format!("{count} requests, {} faults", soak.faults))
+}
+
+/// Checks what callers and targets observed, and the entries themselves.
+fn check(
+    soak: &Soak,
+    observations: &HashMap<String, Observed>,
+    duration: Duration,
+    recovered: Result<(), String>,
+) -> Result<(), String> {
+    check_responses(observations, &soak.fleet)?;
+    check_targets(observations, &soak.fleet, duration)?;
+    check_limit(soak)?;
+    if let Some(log) = soak.panic_line() {
         return Err(log);
     }
     recovered?;
-    if !soak.unexpected_exits.is_empty() {
-        return Err(format!(
+    match soak.unexpected_exits.is_empty() {
+        true => Ok(()),
+        false => Err(format!(
             "entries {:?} exited unexpectedly",
             soak.unexpected_exits
-        ));
+        )),
     }
-    let count = lock(&observations).len();
-    Ok(format!("{count} requests, {} faults", soak.faults))
 }
 
 /// Checks the responses that callers received against the requests that targets ran. Guards against
@@ -657,6 +687,15 @@
         text
     }
 
+    fn copy_logs(&self, dir: &Path, seed: u64) -> std::io::Result<()> {
+        std::fs::create_dir_all(dir)?;
+        for (i, entry) in self.fleet.entries.iter().enumerate() {
+            let path = dir.join(format!("{seed}-entry-{i}.log"));
+            std::fs::copy(&entry.log_path, path)?;
+        }
+        Ok(())
+    }
+
     fn panic_line(&self) -> Option<String> {
         let logs = self.fleet.entries.iter().map(|entry| entry.log_text());
         let mut lines = logs.filter_map(|log| {
