Count entries that registrations cannot name during a store outage

Cause, traced in the logs: the store stopped responding 0.9 s after a fleet had started. One entry was registered and the others followed it, but it could no longer name them. Five seconds later each entry took the new fleet as settled and counted one entry, so six entries each used the whole probe budget.

Change: a new fleet counts as settled once the store has confirmed the view after those five seconds.

Ruled out: 512 entries as while no registration has been read (an entry of a small fleet would hardly probe).

The test that few entries register now also waits until registrations name all.

--- a/control/src/membership.rs
+++ b/control/src/membership.rs
@@ -64,6 +64,34 @@
     pub capacity: u32,
 }
 
+/// Number of entries that a source has told, with the time for which it counts.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ReportedCount {
+    count: usize,
+    until: Timestamp,
+}
+
+impl ReportedCount {
+    /// Records the number that a source tells. A greater one from another source counts for as long as a
+    /// former follower does.
+    pub fn record(&mut self, now: Timestamp, count: usize) {
+        if count >= self.get(now) {
+            *self = Self {
+                count,
+                until: now + MEMBER_RETENTION,
+            };
+        }
+    }
+
+    /// Returns the number; 0 if no source has told one recently.
+    pub fn get(&self, now: Timestamp) -> usize {
+        match now < self.until {
+            true => self.count,
+            false => 0,
+        }
+    }
+}
+
 struct FollowerState {
     follower: Follower,
     connections: u32,
@@ -123,9 +151,7 @@
     /// for [`MEMBER_RETENTION`] after it was lost: it shares the budgets until it is certain that
     /// another entry names it or that it has exited.
     pub fn members(&mut self, now: Timestamp, view: &View, zone: &ZoneName) -> Vec<EntryName> {
-        self.by_name.retain(|_, state| {
-            state.connections > 0 || now < state.disconnected_at + MEMBER_RETENTION
-        });
+        self.drop_former(now);
         let followers = self.by_name.values().map(|state| &state.follower);
         let leaves = followers.filter(|f| f.zone == *zone && view.entry(&f.name).is_none());
         let mut members: Vec<EntryName> = leaves.map(|leaf| leaf.name.clone()).collect();
@@ -133,6 +159,20 @@
         members
     }
 
+    /// Returns the number of entries that follow this one, or did so recently, and that no registration
+    /// names.
+    pub fn uncounted(&mut self, now: Timestamp, view: &View) -> usize {
+        self.drop_former(now);
+        let names = self.by_name.keys();
+        names.filter(|name| !view.counts_entry(name)).count()
+    }
+
+    fn drop_former(&mut self, now: Timestamp) {
+        self.by_name.retain(|_, state| {
+            state.connections > 0 || now < state.disconnected_at + MEMBER_RETENTION
+        });
+    }
+
     /// Returns true if the list of members should be published: a connected follower is not counted
     /// yet by any entry, or several published members have left.
     ///
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -133,6 +133,8 @@
     entries_unsettled: bool,
     /// Registered entries and their members.
     known_entries: KnownEntries,
+    /// Number of entries that is known in other ways than from registrations.
+    entry_count_min: usize,
 }
 
 /// Entries of one zone, registered or named as members.
@@ -231,6 +233,19 @@
         self.entries_unsettled = unsettled;
     }
 
+    /// Sets the number of entries that is known in other ways than from registrations: of followers and
+    /// from a source.
+    ///
+    /// Fault: the store stops responding before registrations name all entries of a new fleet.
+    pub fn set_entry_count_min(&mut self, count: usize) {
+        self.entry_count_min = count;
+    }
+
+    /// Returns the number of entries that registrations name.
+    pub fn named_entry_count(&self) -> usize {
+        self.known_entries.total
+    }
+
     /// Returns true if the registrations of entries have been read.
     pub fn has_read_entries(&self) -> bool {
         self.has_read_entries
@@ -251,7 +266,8 @@
             (false, true) => self.entries.len().max(1) * ASSUMED_MEMBERS,
             (false, false) => 1,
         };
-        self.known_entries.total.max(minimum)
+        let known = self.known_entries.total.max(self.entry_count_min);
+        known.max(minimum)
     }
 
     /// Returns the number of entries in a zone, which share the warm-up rate of its targets; at
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -70,6 +70,11 @@
 
 /// Records the status of a source, or returns why the source is not usable.
 fn apply_status(shared: &SharedState, status: SourceStatus, same_zone: bool) -> Result<(), Error> {
+    let now = shared.now();
+    shared
+        .reported_count
+        .borrow_mut()
+        .record(now, status.entry_count as usize);
     if status.path.contains(&shared.settings.entry_name) {
         return Err(Error::Circular);
     }
@@ -189,6 +194,7 @@
             path: shared.source_path.borrow().clone(),
             has_read_entries: shared.view.borrow().has_read_entries(),
             appointed: connection.is_appointed(),
+            entry_count: shared.known_entry_count() as u32,
         };
         write(&mut stream, &Message::Status(status)).await?;
         // The next status is due after the interval, or at once after a change.
--- a/entry/src/peer_protocol.rs
+++ b/entry/src/peer_protocol.rs
@@ -59,6 +59,8 @@
     pub has_read_entries: bool,
     /// True if the follower should register.
     pub appointed: bool,
+    /// Number of entries that the source knows of.
+    pub entry_count: u32,
 }
 
 quick_error! {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -218,9 +218,13 @@
         if shared.now() >= ENTRIES_READ_DEADLINE {
             shared.view.borrow_mut().mark_entries_overdue();
         }
-        if shared.now() >= ENTRIES_SETTLED_AFTER {
+        // Without a later confirmation, other entries may not have been able to register.
+        let confirmed_at = shared.confirmed_at.get();
+        if confirmed_at.is_some_and(|at| at >= ENTRIES_SETTLED_AFTER) {
             shared.view.borrow_mut().set_entries_unsettled(false);
         }
+        let entry_count = shared.known_entry_count();
+        shared.view.borrow_mut().set_entry_count_min(entry_count);
         let effects = shared.view.borrow_mut().apply_due(shared.now());
         view_sync::apply_effects(&shared, &effects);
         let view = shared.view.borrow();
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -6,7 +6,7 @@
 
 use lacewingmoor_bundle::Bundle;
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget};
-use lacewingmoor_control::membership::{self, Followers};
+use lacewingmoor_control::membership::{self, Followers, ReportedCount};
 use lacewingmoor_control::model::{self, Era, Revision, TargetId};
 use lacewingmoor_control::replica::Replica;
 use lacewingmoor_control::selection::{Locality, ServiceTime};
@@ -62,6 +62,8 @@
     pub registration_delay: Duration,
     /// Entries that follow this one.
     pub followers: RefCell<Followers>,
+    /// Number of entries that sources have told.
+    pub reported_count: RefCell<ReportedCount>,
     /// Logger.
     pub log: Logger,
     /// Metrics of the request path.
@@ -121,6 +123,7 @@
         Rc::new(Self {
             registration_delay: membership::registration_delay(settings.capacity, rng.random()),
             followers: RefCell::default(),
+            reported_count: RefCell::default(),
             own_entry: model::Entry {
                 name: settings.entry_name.as_str().into(),
                 zone: locality.zone.clone(),
@@ -278,6 +281,16 @@
         self.replica.borrow().revision() > Revision::default()
     }
 
+    /// Returns the number of entries that this one knows of, from registrations, its followers and its
+    /// sources.
+    pub fn known_entry_count(&self) -> usize {
+        let now = self.now();
+        let view = self.view.borrow();
+        let uncounted = self.followers.borrow_mut().uncounted(now, &view);
+        let reported = self.reported_count.borrow().get(now);
+        (view.named_entry_count() + uncounted).max(reported)
+    }
+
     /// Returns true if this entry is registered, according to the view.
     pub fn is_registered(&self) -> bool {
         is_registered(&self.view.borrow(), &self.own_entry)
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -50,6 +50,7 @@
         "entries": view.entries().count(),
         "registered": shared.is_registered(),
         "members": view.entry_count(),
+        "entries_named": view.named_entry_count(),
         "entries_read": view.has_read_entries(),
         "zones_out": zones_out,
         "requests_in_flight": shared.in_flight.get(),
--- a/entry/tests/membership.rs
+++ b/entry/tests/membership.rs
@@ -10,6 +10,7 @@
 use http::StatusCode;
 use lacewingmoor_standin::entry::EntryProcess;
 use lacewingmoor_standin::fleet::{Fleet, get};
+use lacewingmoor_standin::store::StoreFault;
 
 /// Returns a number from the status page of an entry.
 async fn status_number(entry: &EntryProcess, key: &str) -> Option<u64> {
@@ -41,6 +42,7 @@
     for entry in &fleet.entries {
         until("every entry counts all members", async || {
             status_number(entry, "members").await == Some(7)
+                && status_number(entry, "entries_named").await == Some(7)
         })
         .await;
     }
@@ -124,3 +126,26 @@
         .await;
     }
 }
+
+/// Soak seed 2014: the store stopped responding when one entry had registered. The others followed it but
+/// could not be named, so each of six counted one entry and used the whole probe budget.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn entries_that_start_before_a_store_outage_count_each_other() {
+    let fleet = fleet_in_one_zone(5).await;
+    for entry in &fleet.entries {
+        until("the registrations have been read", async || {
+            let status = get(entry.metrics_addr, "/status").await;
+            status.is_some_and(|(_, text)| text.contains("\"entries_read\":true"))
+        })
+        .await;
+    }
+    fleet.store.set_fault(StoreFault::Reset);
+    // By then an entry of a new fleet assumes that registrations name all others.
+    tokio::time::sleep(Duration::from_secs(6)).await;
+    for entry in &fleet.entries {
+        until("every entry is counted", async || {
+            status_number(entry, "members").await >= Some(6)
+        })
+        .await;
+    }
+}
--- a/entry/tests/peer_protocol.rs
+++ b/entry/tests/peer_protocol.rs
@@ -21,6 +21,7 @@
         path: path.iter().map(|name| (*name).to_owned()).collect(),
         has_read_entries: true,
         appointed: false,
+        entry_count: 1,
     })
 }
 
