review: a weight above 1,000 keeps the old configuration in force

Cause: weights are multiplied by 1,000 and the bundle allows 1,000,000, so the configuration is rejected as a whole. An entry that starts has none.

--- a/review/src/harness.rs
+++ b/review/src/harness.rs
@@ -22,6 +22,7 @@
 }
 
 const SIGKILL: i32 = 9;
+const SIGTERM: i32 = 15;
 const SIGCONT: i32 = 18;
 const SIGSTOP: i32 = 19;
 
@@ -972,6 +973,23 @@
     timeout: Duration,
 }
 
+/// Returns a configuration with one route and the services of the servers.
+fn config(version: &str, route: &Route, destination: &str, servers: &[ServerSettings]) -> String {
+    let mut names: Vec<&str> = servers.iter().map(|s| s.service.as_str()).collect();
+    names.sort();
+    names.dedup();
+    let services: Vec<String> = names
+        .iter()
+        .map(|name| format!(r#"{{"name":"{name}","healthPath":"/health","maxConns":220,"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":{WARMUP_PER_S}}}"#))
+        .collect();
+    let services = services.join(",");
+    format!(
+        r#"{{"version":"{version}","services":[{services}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{BODY_BYTES_MAX},"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"virtualHosts":[{{"hostname":"{HOST}","paths":[{{"name":"route-1","prefix":"/app/","kind":"{}",{destination},"timeoutMs":{},"targetLatencyMs":800,"priority":1,"maxAttempts":2,"allowedRegions":[]}}]}}]}}"#,
+        route.kind,
+        route.timeout.as_millis()
+    )
+}
+
 /// Starts a store, servers and entries, and waits until the entries are ready.
 fn deploy(
     route: &Route,
@@ -984,13 +1002,8 @@
     let record = Record::new();
     let any_port = |ip: [u8; 4]| SocketAddr::from((ip, 0));
     let store = Store::start(any_port(unique_ip()))?;
-    let service = servers[0].service.clone();
-    let config = format!(
-        r#"{{"version":"r12","services":[{{"name":"{service}","healthPath":"/health","maxConns":220,"protocol":"h1","tls":false,"warmupS":3.0,"warmupPerS":{WARMUP_PER_S}}}],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":{BODY_BYTES_MAX},"headerTimeoutMs":3000,"idleTimeoutMs":15000}},"virtualHosts":[{{"hostname":"{HOST}","paths":[{{"name":"route-1","prefix":"/app/","kind":"{}","service":"{service}","timeoutMs":{},"targetLatencyMs":800,"priority":1,"maxAttempts":2}}]}}]}}"#,
-        route.kind,
-        route.timeout.as_millis()
-    );
-    store.put("op/config", &config);
+    let destination = format!(r#""service":"{}""#, servers[0].service);
+    store.put("op/config", &config("r12", route, &destination, &servers));
     let servers = servers
         .into_iter()
         .map(|settings| Server::start(any_port(unique_ip()), settings, &store, &record))
@@ -1251,6 +1264,92 @@
     Ok((record, most as f64 > bound))
 }
 
+/// A configuration moves the route to two other services, whose weights are written as thousands.
+fn weights_case(trouble: bool) -> std::io::Result<(Record, bool)> {
+    let route = Route {
+        kind: "idempotent",
+        timeout: Duration::from_millis(1500),
+    };
+    let services = ["guidevault", "partbook", "benchorder"];
+    let servers = || {
+        let all = services.iter().flat_map(|service| {
+            (0..2).map(move |i| server(&format!("i-{service}-{i}"), service, "seoul-a", 100))
+        });
+        all.collect::<Vec<_>>()
+    };
+    let mut deployment = deploy(&route, &["seoul-a", "daejeon-a"], servers())?;
+    let record = deployment.record.clone();
+    let unit = if trouble { 1000 } else { 25 };
+    let split = format!(
+        r#""trafficSplit":[{{"service":"partbook","weight":{}}},{{"service":"benchorder","weight":{unit}}}]"#,
+        3 * unit
+    );
+    let config = config("r17", &route, &split, &servers());
+    let (store, changes) = (deployment.store.clone(), record.clone());
+    let operator = thread::spawn(move || {
+        thread::sleep(Duration::from_secs(5));
+        store.put("op/config", &config);
+        let acknowledged_at = Instant::now();
+        changes.say(format!("the store has acknowledged r17 with {split}"));
+        acknowledged_at
+    });
+    let sent = send_steadily(
+        &record,
+        &deployment.fronts(),
+        "GET",
+        20.0,
+        Duration::from_secs(25),
+        Duration::from_millis(2500),
+    );
+    let acknowledged_at = operator
+        .join()
+        .map_err(|_| std::io::Error::other("the operator failed"))?;
+    deployment
+        .check_entries_run()
+        .map_err(std::io::Error::other)?;
+    let lines = record.lines.lock().unwrap().clone();
+    let runs_at = |id: &str, service: &str| {
+        let (text, run) = (format!("server i-{service}-"), format!(" runs {id}"));
+        lines
+            .iter()
+            .any(|line| line.contains(&text) && line.ends_with(&run))
+    };
+    // `configApplyMs` is 2,000.
+    let late: Vec<&Sent> = sent
+        .iter()
+        .filter(|s| s.at > acknowledged_at + Duration::from_millis(2000))
+        .collect();
+    let count = |service: &str| late.iter().filter(|s| runs_at(&s.id, service)).count();
+    let old = count("guidevault");
+    record.say(format!(
+        "CONFIG: of {} requests sent later than 2,000 ms after the acknowledgement, {old} were run by the old service, {} and {} by the new ones",
+        late.len(),
+        count("partbook"),
+        count("benchorder")
+    ));
+    let entry = &mut deployment.entries[0];
+    record.say(format!("{} is stopped and started", entry.name));
+    send_signal(entry.child.id(), SIGTERM);
+    let _ = entry.child.wait();
+    let store = deployment.store.addr;
+    let root = std::env::current_dir()?;
+    let again = start_entry(
+        &root,
+        &deployment.dir,
+        "edge-seoul-a-9",
+        "seoul-a",
+        store,
+        &[],
+    )?;
+    thread::sleep(Duration::from_secs(8));
+    record.say(format!(
+        "ready 8 s after its start: {}",
+        is_ready(again.ready)
+    ));
+    deployment.entries[0] = again;
+    Ok((record, old > 0))
+}
+
 fn resident_kb(pid: u32) -> Option<u64> {
     let text = std::fs::read_to_string(format!("/proc/{pid}/status")).ok()?;
     let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"))?;
@@ -1440,6 +1539,7 @@
     let (case, record_path) = (args[1].as_str(), &args[2]);
     let trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match case {
+        "weights" => weights_case(trouble),
         "memory" => memory_case(trouble),
         "log" => log_case(trouble),
         "endless" => endless_case(trouble),
