review: show that a planned stop cuts off requests that wait

Cause: after SIGTERM the process ends at the end of its grace period, whatever is still queued or waits for a server that does not answer. Nothing answers these requests before.

The harness also has the growth case, which follows.

--- a/review/src/harness.rs
+++ b/review/src/harness.rs
@@ -2,7 +2,7 @@
 //! Uses the standard library only. Everything listens on loopback addresses.
 
 use std::collections::BTreeMap;
-use std::io::{BufRead, BufReader, Write};
+use std::io::{BufRead, BufReader, Read as _, Write};
 use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::os::unix::process::CommandExt as _;
 use std::path::{Path, PathBuf};
@@ -37,6 +37,8 @@
 const BODY_BYTES_MAX: usize = 67_108_864;
 /// Time after a route's timeout by which a request must have its answer.
 const ANSWER_SLACK: Duration = Duration::from_millis(500);
+/// Speed of a machine's link.
+const LINK_MBPS: f64 = 1000.0;
 const ZONES: &str = r#"{"seoul-a": "seoul", "daejeon-a": "daejeon", "busan-a": "busan"}"#;
 const HOST: &str = "orders.example";
 
@@ -771,7 +773,7 @@
     ]
 }
 
-/// Fills in the project's own template of the settings.
+/// Starts an entry at an address of its own.
 fn start_entry(
     root: &Path,
     dir: &Path,
@@ -780,7 +782,21 @@
     store: SocketAddr,
     seeds: &[SocketAddr],
 ) -> std::io::Result<Entry> {
-    let ip = unique_ip();
+    start_entry_at(unique_ip(), LINK_MBPS, root, dir, name, zone, store, seeds)
+}
+
+/// Starts an entry. Fills in the project's own template of the settings.
+#[expect(clippy::too_many_arguments)]
+fn start_entry_at(
+    ip: [u8; 4],
+    link_mbps: f64,
+    root: &Path,
+    dir: &Path,
+    name: &str,
+    zone: &str,
+    store: SocketAddr,
+    seeds: &[SocketAddr],
+) -> std::io::Result<Entry> {
     let [front, ready, control] = [8548, 8542, 8544].map(|port| SocketAddr::from((ip, port)));
     let region = zone.rsplit_once('-').map_or(zone, |(region, _)| region);
     let seeds: Vec<String> = seeds.iter().map(|seed| format!("\"{seed}\"")).collect();
@@ -799,7 +815,7 @@
         ("bounds.configApplyMs", "2000".into()),
         ("bounds.probesPerS", "60".into()),
         ("limits.cpuShare", "0.2".into()),
-        ("limits.linkMbps", "1000.0".into()),
+        ("limits.linkMbps", format!("{link_mbps:.1}")),
         ("bounds.retryBudgetRatio", "0.2".into()),
         ("bounds.budgetExtra", "56".into()),
         ("bounds.budgetWindowS", "10".into()),
@@ -1534,6 +1550,453 @@
     Ok((record, lost > 3))
 }
 
+/// How an exchange ended for a client.
+#[derive(Clone, Copy, PartialEq)]
+enum End {
+    /// No connection, or the request could not be written completely.
+    NotSent,
+    /// A complete answer with this status.
+    Answer(u16),
+    /// The connection ended without a complete answer before the deadline.
+    Cut,
+    /// There was no answer until the deadline, at which the client closed.
+    Deadline,
+}
+
+/// Sends one request on a connection of its own. Returns how it ended, and how long after its last byte was
+/// sent.
+fn exchange(id: &str, front: SocketAddr, deadline: Duration) -> (End, Duration) {
+    let at = Instant::now();
+    let Ok(mut stream) = TcpStream::connect_timeout(&front, Duration::from_secs(1)) else {
+        return (End::NotSent, at.elapsed());
+    };
+    let _ = stream.set_nodelay(true);
+    let request = format!(
+        "POST /app/{id} HTTP/1.1\r\nHost: {HOST}\r\nX-Lacewingmoor-Attempt-Id: {id}\r\n\
+         X-Lacewingmoor-Deadline-Ms: {}\r\nContent-Length: 5\r\n\r\norder",
+        deadline.as_millis()
+    );
+    if stream.write_all(request.as_bytes()).is_err() {
+        return (End::NotSent, at.elapsed());
+    }
+    let sent_at = Instant::now();
+    let _ = stream.set_read_timeout(Some(deadline.saturating_sub(at.elapsed())));
+    let mut reader = BufReader::new(stream);
+    let status = read_head(&mut reader).and_then(|head| {
+        read_body(&mut reader, &head)?;
+        head.first_line.split(' ').nth(1)?.parse().ok()
+    });
+    let end = match status {
+        Some(status) => End::Answer(status),
+        None if at.elapsed() < deadline => End::Cut,
+        None => End::Deadline,
+    };
+    (end, sent_at.elapsed())
+}
+
+/// The platform's readiness checks: one question a second to each entry. Two misses in a row take an entry out of
+/// rotation, a 200 takes it back. Ends with `until`.
+fn check_readiness(
+    record: &Record,
+    entries: &[(String, SocketAddr)],
+    until: Instant,
+) -> Arc<Vec<AtomicBool>> {
+    let rotation: Arc<Vec<AtomicBool>> =
+        Arc::new(entries.iter().map(|_| AtomicBool::new(true)).collect());
+    for (i, (name, ready)) in entries.iter().enumerate() {
+        let (record, rotation, name, ready) =
+            (record.clone(), rotation.clone(), name.clone(), *ready);
+        thread::spawn(move || {
+            let mut misses = 0;
+            while Instant::now() < until {
+                misses = if is_ready(ready) { 0 } else { misses + 1 };
+                let in_rotation = misses < 2;
+                if rotation[i].swap(in_rotation, Ordering::Relaxed) != in_rotation {
+                    record.say(format!(
+                        "the platform has {name} in rotation: {in_rotation}"
+                    ));
+                }
+                thread::sleep(Duration::from_secs(1));
+            }
+        });
+    }
+    rotation
+}
+
+/// Entries are stopped and started in turn under a steady load, at which orders wait in them for a free server.
+fn stop_case(trouble: bool) -> std::io::Result<(Record, bool)> {
+    // Figures of `order-place` and its service in the site file `pinhaus-gw-grown`.
+    const DEADLINE: Duration = Duration::from_secs(8);
+    const WORK_MS: u64 = 730;
+    const GRACE: Duration = Duration::from_secs(6);
+    const LOSS_SLACK: Duration = Duration::from_millis(200);
+    const AT_A_TIME: usize = 2;
+    const ENTRIES: usize = 8;
+    // 96 in 100 of what the slots of the servers can do.
+    const SERVERS: usize = 12;
+    const PER_S: f64 = 95.0;
+    let (first_stop, stop_gap) = (Duration::from_secs(14), Duration::from_secs(13));
+    let load_time = first_stop + stop_gap * (ENTRIES / AT_A_TIME) as u32;
+    let route = Route {
+        kind: "non_idempotent",
+        timeout: DEADLINE,
+    };
+    let servers = (0..SERVERS).map(|i| server(&format!("i-{i}"), "benchorder", "seoul-a", WORK_MS));
+    let mut deployment = deploy(&route, &["seoul-a"; ENTRIES], servers.collect())?;
+    let record = deployment.record.clone();
+    let fronts = deployment.fronts();
+    let readies: Vec<_> = deployment
+        .entries
+        .iter()
+        .map(|entry| (entry.name.clone(), entry.ready))
+        .collect();
+    let started_at = Instant::now();
+    let rotation = check_readiness(&record, &readies, started_at + load_time);
+    let clients = {
+        let record = record.clone();
+        thread::spawn(move || {
+            let mut clients = Vec::new();
+            for i in 0..(PER_S * load_time.as_secs_f64()) as usize {
+                let due = started_at + Duration::from_secs_f64(i as f64 / PER_S);
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+                let choices: Vec<_> = (0..fronts.len())
+                    .filter(|i| rotation[*i].load(Ordering::Relaxed))
+                    .collect();
+                let (name, front) = fronts[choices[i % choices.len()]].clone();
+                let record = record.clone();
+                clients.push(thread::spawn(move || {
+                    let id = format!("{:08x}{i:08x}", std::process::id());
+                    record.add(format!("client sends {id} to {name}"));
+                    let (end, elapsed) = exchange(&id, front, DEADLINE);
+                    let text = match end {
+                        End::NotSent => "could not send".to_owned(),
+                        End::Answer(status) => format!("has the answer {status} to"),
+                        End::Cut => "lost the connection without an answer to".to_owned(),
+                        End::Deadline => "has no answer by its deadline to".to_owned(),
+                    };
+                    let elapsed_ms = elapsed.as_millis();
+                    record.add(format!("client {text} {id} after {elapsed_ms} ms"));
+                    (id, name, end, elapsed)
+                }));
+            }
+            let ends: Vec<_> = clients.into_iter().filter_map(|c| c.join().ok()).collect();
+            ends
+        })
+    };
+    let root = std::env::current_dir()?;
+    for step in 0..ENTRIES / AT_A_TIME {
+        let due = started_at + first_stop + stop_gap * step as u32;
+        thread::sleep(due.saturating_duration_since(Instant::now()));
+        if !trouble {
+            continue;
+        }
+        let at = Instant::now();
+        let stopping = step * AT_A_TIME..(step + 1) * AT_A_TIME;
+        for entry in &deployment.entries[stopping.clone()] {
+            record.say(format!("{} gets SIGTERM", entry.name));
+            send_signal(entry.child.id(), SIGTERM);
+        }
+        for i in stopping {
+            let entry = &mut deployment.entries[i];
+            // The platform kills a process that still runs `graceS` later.
+            while at.elapsed() < GRACE && entry.child.try_wait()?.is_none() {
+                thread::sleep(Duration::from_millis(5));
+            }
+            let how = match entry.child.try_wait()? {
+                Some(_) => "has ended by itself",
+                None => "is killed",
+            };
+            record.say(format!("{} {how}", entry.name));
+            let _ = entry.child.kill();
+            let _ = entry.child.wait();
+            thread::sleep(Duration::from_millis(300));
+            let log = std::fs::read_to_string(deployment.dir.join(format!("{}.log", entry.name)))?;
+            for line in log.lines().filter(|line| line.contains("event=stop")) {
+                record.say(line);
+            }
+            let std::net::IpAddr::V4(ip) = entry.front.ip() else {
+                return Err(std::io::Error::other("not an IPv4 address"));
+            };
+            let (name, store) = (entry.name.clone(), deployment.store.addr);
+            let again = start_entry_at(
+                ip.octets(),
+                LINK_MBPS,
+                &root,
+                &deployment.dir,
+                &name,
+                "seoul-a",
+                store,
+                &[],
+            )?;
+            deployment.entries[i] = again;
+        }
+    }
+    let ends = clients
+        .join()
+        .map_err(|_| std::io::Error::other("the clients failed"))?;
+    deployment
+        .check_entries_run()
+        .map_err(std::io::Error::other)?;
+    let lines = record.lines.lock().unwrap().clone();
+    let has_run = |id: &str| {
+        lines
+            .iter()
+            .any(|line| line.ends_with(&format!("runs {id}")))
+    };
+    let count = |f: &dyn Fn(End) -> bool| ends.iter().filter(|(_, _, end, _)| f(*end)).count();
+    record.say(format!(
+        "{} orders: {} answered with 200, {} with 503, {} otherwise, {} not sent, {} without an answer by the deadline",
+        ends.len(),
+        count(&|end| end == End::Answer(200)),
+        count(&|end| end == End::Answer(503)),
+        count(&|end| matches!(end, End::Answer(status) if status != 200 && status != 503)),
+        count(&|end| end == End::NotSent),
+        count(&|end| end == End::Deadline),
+    ));
+    let cut: Vec<_> = ends
+        .iter()
+        .filter(|(_, _, end, elapsed)| *end == End::Cut && *elapsed > LOSS_SLACK)
+        .collect();
+    // The others were at a server in the last sixth of `graceS`, which the rule excuses.
+    let waiting: Vec<_> = cut.iter().filter(|(id, ..)| !has_run(id)).collect();
+    record.say(format!(
+        "LOST: {} connections ended without an answer later than {} ms after the order was sent; {} of these orders had never been passed on to a server",
+        cut.len(),
+        LOSS_SLACK.as_millis(),
+        waiting.len()
+    ));
+    for (id, name, _, elapsed) in &waiting {
+        record.add(format!(
+            "{id} had waited in {name} for {} ms; its deadline and its route's timeout are {} ms",
+            elapsed.as_millis(),
+            DEADLINE.as_millis()
+        ));
+    }
+    Ok((record, !waiting.is_empty()))
+}
+
+/// Forwards connections to `to`. The bytes that come back pass at the speed of a link, which all connections
+/// share.
+fn start_link(to: SocketAddr, mbps: f64) -> std::io::Result<SocketAddr> {
+    const PIECE_BYTES: usize = 4096;
+    let listener = TcpListener::bind(SocketAddr::from((unique_ip(), 0)))?;
+    let addr = listener.local_addr()?;
+    let free_at = Arc::new(Mutex::new(Instant::now()));
+    thread::spawn(move || {
+        for client in listener.incoming().flatten() {
+            let Ok(server) = TcpStream::connect(to) else {
+                continue;
+            };
+            let (Ok(mut from_client), Ok(mut to_server)) = (client.try_clone(), server.try_clone())
+            else {
+                continue;
+            };
+            thread::spawn(move || {
+                let _ = std::io::copy(&mut from_client, &mut to_server);
+                let _ = to_server.shutdown(Shutdown::Both);
+            });
+            let free_at = free_at.clone();
+            thread::spawn(move || {
+                let (mut from_server, mut to_client) = (server, client);
+                let mut piece = [0; PIECE_BYTES];
+                while let Ok(length @ 1..) = from_server.read(&mut piece) {
+                    let takes = Duration::from_secs_f64(length as f64 * 8.0 / (mbps * 1e6));
+                    let arrives_at = {
+                        let mut free_at = free_at.lock().unwrap();
+                        *free_at = (*free_at).max(Instant::now()) + takes;
+                        *free_at
+                    };
+                    thread::sleep(arrives_at.saturating_duration_since(Instant::now()));
+                    if to_client.write_all(&piece[..length]).is_err() {
+                        break;
+                    }
+                }
+                let _ = to_client.shutdown(Shutdown::Both);
+                let _ = from_server.shutdown(Shutdown::Both);
+            });
+        }
+    });
+    Ok(addr)
+}
+
+/// A configuration that moves a route to another service has also grown by many routes. The entries have narrow
+/// links.
+fn growth_case(trouble: bool) -> std::io::Result<(Record, bool)> {
+    // Of the smaller machines of the site file `isarbrunn-bahnen-grown`, and its `configApplyMs`.
+    const NARROW_MBPS: f64 = 10.0;
+    const APPLY: Duration = Duration::from_millis(3000);
+    const VALUE_BYTES_MAX: usize = 1_048_576;
+    const ROUTES_MORE: usize = 5900;
+    let root = std::env::current_dir()?;
+    let dir = std::env::temp_dir().join(format!("lacewingmoor-review-{}", std::process::id()));
+    std::fs::create_dir_all(&dir)?;
+    let route = Route {
+        kind: "idempotent",
+        timeout: Duration::from_millis(3000),
+    };
+    let servers = || {
+        let services = ["partbook", "benchorder", "guidevault"].iter();
+        let all = services.flat_map(|service| {
+            (0..2).map(move |i| server(&format!("i-{service}-{i}"), service, "seoul-a", 100))
+        });
+        all.collect::<Vec<_>>()
+    };
+    let record = Record::new();
+    let store = Store::start(SocketAddr::from((unique_ip(), 0)))?;
+    store.put(
+        "op/config",
+        &config("r12", &route, r#""service":"partbook""#, &servers()),
+    );
+    let mut deployment = Deployment {
+        record: record.clone(),
+        entries: Vec::new(),
+        servers: Vec::new(),
+        store: store.clone(),
+        dir,
+    };
+    for settings in servers() {
+        let addr = SocketAddr::from((unique_ip(), 0));
+        let server = Server::start(addr, settings, &store, &record)?;
+        deployment.servers.push(server);
+    }
+    let mut seeds = Vec::new();
+    let start = |i: usize, seeds: &[SocketAddr], dir: &Path| -> std::io::Result<Entry> {
+        let link = start_link(store.addr, NARROW_MBPS)?;
+        let name = format!("edge-seoul-a-{i}");
+        start_entry_at(
+            unique_ip(),
+            NARROW_MBPS,
+            &root,
+            dir,
+            &name,
+            "seoul-a",
+            link,
+            seeds,
+        )
+    };
+    for i in 1..=2 {
+        let entry = start(i, &seeds, &deployment.dir)?;
+        seeds.push(SocketAddr::new(entry.front.ip(), 8544));
+        deployment.entries.push(entry);
+    }
+    thread::sleep(Duration::from_secs(10));
+    if !deployment.entries.iter().all(|entry| is_ready(entry.ready)) {
+        return Err(std::io::Error::other("an entry is not ready"));
+    }
+    let version = |version: &str, service: &str| {
+        let mut config = config(
+            version,
+            &route,
+            &format!(r#""service":"{service}""#),
+            &servers(),
+        );
+        if trouble {
+            let routes: Vec<String> = (0..ROUTES_MORE)
+                .map(|i| format!(r#"{{"name":"r-{i:07x}","prefix":"/g{i:06x}/h{i:04x}/","kind":"idempotent","timeoutMs":3000,"targetLatencyMs":600,"priority":2,"service":"partbook","maxAttempts":2,"allowedRegions":[]}}"#))
+                .collect();
+            let host = format!(
+                r#",{{"hostname":"more.example","paths":[{}]}}]}}"#,
+                routes.join(",")
+            );
+            config.truncate(config.len() - "]}".len());
+            config.push_str(&host);
+        }
+        config
+    };
+    let versions = [
+        (5, "r17", "benchorder", version("r17", "benchorder")),
+        (15, "r19", "guidevault", version("r19", "guidevault")),
+    ];
+    if versions
+        .iter()
+        .any(|(.., config)| config.len() > VALUE_BYTES_MAX)
+    {
+        return Err(std::io::Error::other("a configuration exceeds valueBytes"));
+    }
+    let operator = {
+        let (store, changes, started_at) = (store.clone(), record.clone(), Instant::now());
+        thread::spawn(move || {
+            versions.map(|(at_s, version, service, config)| {
+                let due = started_at + Duration::from_secs(at_s);
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+                store.put("op/config", &config);
+                let acknowledged_at = Instant::now();
+                changes.say(format!(
+                    "the store has acknowledged {version} with {} of at most {VALUE_BYTES_MAX} bytes, which moves the route to {service}",
+                    config.len()
+                ));
+                acknowledged_at
+            })
+        })
+    };
+    let sent = send_steadily(
+        &record,
+        &deployment.fronts(),
+        "GET",
+        20.0,
+        Duration::from_secs(30),
+        Duration::from_millis(6000),
+    );
+    let acknowledged_at = operator
+        .join()
+        .map_err(|_| std::io::Error::other("the operator failed"))?;
+    deployment
+        .check_entries_run()
+        .map_err(std::io::Error::other)?;
+    let lines = record.lines.lock().unwrap().clone();
+    let runs_at = |id: &str, service: &str| {
+        let (text, run) = (format!("server i-{service}-"), format!(" runs {id}"));
+        lines
+            .iter()
+            .any(|line| line.contains(&text) && line.ends_with(&run))
+    };
+    let [first, second] = acknowledged_at.map(|at| at + APPLY);
+    let between = |from: Instant, until: Instant, services: &[&str]| {
+        let sent = sent.iter().filter(|s| s.at > from && s.at < until);
+        sent.filter(|s| services.iter().any(|service| runs_at(&s.id, service)))
+            .count()
+    };
+    let before_second = second - APPLY;
+    let end = Instant::now();
+    let old = [
+        between(first, before_second, &["partbook"]),
+        between(second, end, &["partbook", "benchorder"]),
+    ];
+    let new = [
+        between(first, before_second, &["benchorder"]),
+        between(second, end, &["guidevault"]),
+    ];
+    for i in 0..2 {
+        record.say(format!(
+            "CONFIG: of the requests sent later than {} ms after the {} acknowledgement, {} were run by an old service and {} by the new one",
+            APPLY.as_millis(),
+            ["first", "second"][i],
+            old[i],
+            new[i]
+        ));
+    }
+    let again = start(3, &seeds, &deployment.dir)?;
+    thread::sleep(Duration::from_secs(10));
+    record.say(format!(
+        "an entry that was added is ready 10 s after its start: {}",
+        is_ready(again.ready)
+    ));
+    deployment.entries.push(again);
+    for entry in &deployment.entries {
+        let log = std::fs::read_to_string(deployment.dir.join(format!("{}.log", entry.name)))?;
+        let lost = log
+            .lines()
+            .filter(|line| line.contains("event=source_lost"));
+        record.say(format!(
+            "{}: {} times source_lost, the last: {}",
+            entry.name,
+            lost.clone().count(),
+            lost.last().unwrap_or("-")
+        ));
+    }
+    Ok((record, old.iter().any(|count| *count > 0)))
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let (case, record_path) = (args[1].as_str(), &args[2]);
@@ -1542,6 +2005,8 @@
         "weights" => weights_case(trouble),
         "memory" => memory_case(trouble),
         "log" => log_case(trouble),
+        "stop" => stop_case(trouble),
+        "growth" => growth_case(trouble),
         "endless" => endless_case(trouble),
         "cold" => cold_case(
             trouble,
