review: add a late write of a server to the harness

Cause: an entry applies registrations of a target in the order of the store revisions and ignores the sequence number within one era. A write of a server that the store executes late makes a draining server ready again.

--- a/review/src/harness.rs
+++ b/review/src/harness.rs
@@ -237,6 +237,13 @@
         self.state.1.notify_all();
     }
 
+    fn remove(&self, key: &str) {
+        let mut state = self.state.0.lock().unwrap();
+        state.revision += 1;
+        Self::delete(&mut state, key);
+        self.state.1.notify_all();
+    }
+
     fn write(state: &mut StoreState, key: &str, value: Vec<u8>, lease: u64) {
         let revision = state.revision;
         let created = state.items.get(key).map_or(revision, |item| item.created);
@@ -488,6 +495,8 @@
 struct ServerState {
     running: u32,
     waiting: u32,
+    /// Arrivals of requests, with their ids.
+    arrivals: Vec<(Instant, String)>,
     /// Arrivals of requests while the server was cold.
     cold_arrivals: Vec<Instant>,
     cold_until: Option<Instant>,
@@ -502,6 +511,9 @@
     state: Mutex<ServerState>,
     slot_free: Condvar,
     down: AtomicBool,
+    draining: AtomicBool,
+    /// The case itself makes the writes to the store.
+    beats_by_hand: AtomicBool,
     answers: AtomicU64,
     sequence: AtomicU64,
     born_ms: u128,
@@ -522,6 +534,8 @@
             state: Mutex::default(),
             slot_free: Condvar::new(),
             down: AtomicBool::new(false),
+            draining: AtomicBool::new(false),
+            beats_by_hand: AtomicBool::new(false),
             answers: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             born_ms: SystemTime::now()
@@ -548,7 +562,9 @@
         thread::spawn(move || {
             loop {
                 thread::sleep(HEARTBEAT);
-                if !beating.down.load(Ordering::Relaxed) {
+                let is_silent = beating.down.load(Ordering::Relaxed)
+                    || beating.beats_by_hand.load(Ordering::Relaxed);
+                if !is_silent {
                     beating.write_registration(&store);
                 }
             }
@@ -564,6 +580,15 @@
     }
 
     fn write_registration(&self, store: &Store) {
+        store.put(&self.key(), &self.registration());
+    }
+
+    fn key(&self) -> String {
+        format!("servers/{}", self.settings.id)
+    }
+
+    /// Returns what the server reports of itself, under the next sequence number.
+    fn registration(&self) -> String {
         let s = &self.settings;
         let left = self.warmup_left_ms();
         let sequence = self.sequence.fetch_add(1, Ordering::Relaxed) + 1;
@@ -573,11 +598,14 @@
                 s.id
             ));
         }
-        let value = format!(
-            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"ready","warmupLeftMs":{left},"sequence":{sequence},"born":{}}}"#,
+        let state = match self.draining.load(Ordering::Relaxed) {
+            true => "draining",
+            false => "ready",
+        };
+        format!(
+            r#"{{"service":"{}","address":"{}","zone":"{}","version":"v1","slots":{},"state":"{state}","warmupLeftMs":{left},"sequence":{sequence},"born":{}}}"#,
             s.service, self.addr, s.zone, s.slots, self.born_ms
-        );
-        store.put(&format!("servers/{}", s.id), &value);
+        )
     }
 
     fn become_cold(&self, time: Duration) {
@@ -591,6 +619,11 @@
 
     /// Ends as by a crash: running requests are lost.
     fn crash(&self) {
+        self.end("crashes under the rate of requests while cold");
+    }
+
+    /// Ends. Requests that still run are lost.
+    fn end(&self, how: &str) {
         if self.down.swap(true, Ordering::Relaxed) {
             return;
         }
@@ -598,10 +631,8 @@
         for connection in &state.connections {
             let _ = connection.shutdown(Shutdown::Both);
         }
-        self.record.say(format!(
-            "server {} crashes under the rate of requests while cold",
-            self.settings.id
-        ));
+        self.record
+            .say(format!("server {} {how}", self.settings.id));
     }
 
     fn load_field(&self) -> String {
@@ -664,6 +695,7 @@
         let cold = self.warmup_left_ms() > 0;
         {
             let mut state = self.state.lock().unwrap();
+            state.arrivals.push((Instant::now(), request.clone()));
             if cold {
                 let now = Instant::now();
                 state.cold_arrivals.push(now);
@@ -704,7 +736,7 @@
             if self.down.load(Ordering::Relaxed) {
                 state.lost.push(request.clone());
                 self.record.add(format!(
-                    "run of {request} is lost in the crash of {}",
+                    "run of {request} is lost with {}",
                     self.settings.id
                 ));
             }
@@ -1994,9 +2026,124 @@
             lost.last().unwrap_or("-")
         ));
     }
+    record.say("all entries are killed and started again");
+    deployment.entries.clear();
+    for i in 1..=2 {
+        let entry = start(i, &[], &deployment.dir)?;
+        deployment.entries.push(entry);
+    }
+    // `recoverS` is 15.
+    thread::sleep(Duration::from_secs(15));
+    for entry in &deployment.entries {
+        record.say(format!(
+            "{} is ready 15 s after its start: {}",
+            entry.name,
+            is_ready(entry.ready)
+        ));
+    }
     Ok((record, old.iter().any(|count| *count > 0)))
 }
 
+/// A write of a server to the store gets no answer and is executed late, after the server has reported that it
+/// is draining.
+fn late_write_case(trouble: bool) -> std::io::Result<(Record, bool)> {
+    const DRAIN: Duration = Duration::from_millis(2000);
+    // `platform_lost` with `late`: "done 1 to 6 s later".
+    const LATE: Duration = Duration::from_millis(5700);
+    let route = Route {
+        kind: "non_idempotent",
+        timeout: Duration::from_millis(1500),
+    };
+    let zones = ["seoul-a", "seoul-a", "daejeon-a", "daejeon-a"].iter();
+    let servers = zones.enumerate();
+    let servers = servers
+        .map(|(i, zone)| server(&format!("i-{i}"), "benchorder", zone, 290))
+        .collect();
+    let mut deployment = deploy(&route, &["seoul-a", "daejeon-a"], servers)?;
+    let record = deployment.record.clone();
+    let server = deployment.servers[0].clone();
+    let store = deployment.store.clone();
+    let life = {
+        let (server, record) = (server.clone(), record.clone());
+        thread::spawn(move || {
+            server.beats_by_hand.store(true, Ordering::Relaxed);
+            thread::sleep(Duration::from_secs(4));
+            let from = Instant::now();
+            let at = |ms: u64| {
+                let due = from + Duration::from_millis(ms);
+                thread::sleep(due.saturating_duration_since(Instant::now()));
+            };
+            let late = server.registration();
+            record.say(format!("server i-0 writes {late}"));
+            let late = match trouble {
+                true => {
+                    record.say("the store does not answer this write");
+                    Some(late)
+                }
+                false => {
+                    store.put(&server.key(), &late);
+                    None
+                }
+            };
+            for ms in [1000, 2200] {
+                at(ms);
+                server.write_registration(&store);
+            }
+            at(3600);
+            server.draining.store(true, Ordering::Relaxed);
+            server.write_registration(&store);
+            let acknowledged_at = Instant::now();
+            record.say("the store acknowledges that server i-0 is draining");
+            at(5100);
+            server.write_registration(&store);
+            at(LATE.as_millis() as u64);
+            if let Some(late) = late {
+                store.put(&server.key(), &late);
+                record.say("the store executes the write that it has not answered");
+            }
+            at(6600);
+            server.write_registration(&store);
+            // `drainMs` after the acknowledgement "and a little longer".
+            at(3600 + 2000 + 1100);
+            server.end("exits after its drain");
+            store.remove(&server.key());
+            acknowledged_at
+        })
+    };
+    let sent = send_steadily(
+        &record,
+        &deployment.fronts(),
+        "POST",
+        45.0,
+        Duration::from_secs(14),
+        Duration::from_millis(3000),
+    );
+    let acknowledged_at = life
+        .join()
+        .map_err(|_| std::io::Error::other("the server failed"))?;
+    deployment
+        .check_entries_run()
+        .map_err(std::io::Error::other)?;
+    let state = server.state.lock().unwrap();
+    let late: Vec<_> = state
+        .arrivals
+        .iter()
+        .filter(|(at, _)| *at > acknowledged_at + DRAIN)
+        .collect();
+    record.say(format!(
+        "DRAIN: {} requests reached server i-0 later than {} ms after the acknowledgement",
+        late.len(),
+        DRAIN.as_millis()
+    ));
+    let lost = sent.iter().filter(|s| state.lost.contains(&s.id));
+    let answers: Vec<_> = lost.map(|s| s.answer.map(|(status, _)| status)).collect();
+    record.say(format!(
+        "{} running requests were lost when it exited; the clients of these orders got {answers:?}",
+        state.lost.len()
+    ));
+    Ok((record, !late.is_empty()))
+}
+
 fn main() {
     let args: Vec<String> = std::env::args().collect();
     let (case, record_path) = (args[1].as_str(), &args[2]);
@@ -2006,6 +2153,7 @@
         "memory" => memory_case(trouble),
         "log" => log_case(trouble),
         "stop" => stop_case(trouble),
+        "late-write" => late_write_case(trouble),
         "growth" => growth_case(trouble),
         "endless" => endless_case(trouble),
         "cold" => cold_case(
