Give every request a response before a shutdown ends

Cause: wait_for_exit returned at the end of the grace period with requests in flight, and the process dropped them. No wait of a request knew of the shutdown.

Evidence: event=stopped in_flight=N with N above 0 in the entries' logs, so neither late writes nor requests after the listener closed, which would have shown connections=N or no line at all.

Change: a phase Responding, a twelfth of the grace period before its end, in which one select around the handling of a request ends it: 503 if no target can have it, 502 otherwise. Attempts counts open sends, so this is known in every state. Queued requests count with the end of the shutdown from its start on.

Why it works: the select covers the whole handling, so a wait cannot be left out.

--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -195,19 +195,10 @@
         }
         Err(match send_times.on_time.is_empty() {
             true => REJECTED_RETRY_AFTER,
-            false => self.retry_after(now, caller_deadline),
+            false => retry_after(now, caller_deadline),
         })
     }
 
-    /// Returns the time after which a caller may retry whose request got no target in time, or was
-    /// rejected by targets while others are queued. `caller_deadline` is when the caller times out,
-    /// which may be after `hard_deadline`.
-    pub fn retry_after(&self, now: Timestamp, caller_deadline: Timestamp) -> Duration {
-        caller_deadline
-            .saturating_sub(now)
-            .mul_f64(RETRY_AFTER_SHARE)
-    }
-
     /// Returns true if the request may be sent to the target of the estimate.
     ///
     /// Load pattern: a burst leaves a queue of late requests in every entry, and each entry knows
@@ -234,7 +225,7 @@
     ) -> Duration {
         match queued_count {
             0 => REJECTED_RETRY_AFTER,
-            _ => self.retry_after(now, caller_deadline),
+            _ => retry_after(now, caller_deadline),
         }
     }
 
@@ -251,6 +242,15 @@
     }
 }
 
+/// Returns the time after which a caller may retry whose request got no target in time, or was rejected
+/// by targets while others are queued. `caller_deadline` is when the caller times out, which may be
+/// after the request's hard deadline.
+pub fn retry_after(now: Timestamp, caller_deadline: Timestamp) -> Duration {
+    caller_deadline
+        .saturating_sub(now)
+        .mul_f64(RETRY_AFTER_SHARE)
+}
+
 /// Place of a request in queue order: the smallest is first and is served first. New requests are
 /// also rated by it, see [`PendingRequest::may_send_to`].
 #[value]
--- a/control/src/attempt.rs
+++ b/control/src/attempt.rs
@@ -43,6 +43,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Attempts {
     sent: u32,
+    /// Sends whose outcome is not known yet.
+    unresolved: u32,
     may_have_run: bool,
 }
 
@@ -52,18 +54,20 @@
         self.sent
     }
 
-    /// Returns true if a target may have run the request.
+    /// Returns true if a target may have run the request, or may be running it.
     pub fn may_have_run(&self) -> bool {
-        self.may_have_run
+        self.may_have_run || self.unresolved > 0
     }
 
     /// Records that the request is about to be sent.
     pub fn record_send(&mut self) {
         self.sent += 1;
+        self.unresolved += 1;
     }
 
     /// Records how an attempt ended.
     pub fn record_outcome(&mut self, outcome: Outcome) {
+        self.unresolved = self.unresolved.saturating_sub(1);
         match outcome {
             Outcome::NotSent => self.sent = self.sent.saturating_sub(1),
             Outcome::Failed | Outcome::Broken => self.may_have_run = true,
@@ -82,7 +86,7 @@
     ) -> FailureAction {
         let may_retry = match repeat {
             Repeat::Idempotent => true,
-            Repeat::Once => !self.may_have_run,
+            Repeat::Once => !self.may_have_run(),
         };
         // A request that was not sent reached no target, so it counts neither as an attempt nor as
         // a retry.
@@ -92,7 +96,7 @@
         }
         match outcome {
             Outcome::Failed => FailureAction::PassOn,
-            _ if self.may_have_run => FailureAction::Unknown,
+            _ if self.may_have_run() => FailureAction::Unknown,
             _ => FailureAction::RefuseNotRun,
         }
     }
--- a/control/tests/admission.rs
+++ b/control/tests/admission.rs
@@ -7,7 +7,7 @@
 
 use common::ms;
 use lacewingmoor_control::admission::{
-    DequeueRate, PendingRequest, QueuePosition, Rank, SendTimes, select_queued,
+    DequeueRate, PendingRequest, QueuePosition, Rank, SendTimes, retry_after, select_queued,
 };
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
@@ -101,7 +101,7 @@
         large_response: false,
     };
     // Targets reject 40% of the requests; callers retry twice.
-    let run = |retry_after: &dyn Fn(Duration) -> Duration| {
+    let run = |backoff: &dyn Fn(Duration) -> Duration| {
         let mut rng = StdRng::seed_from_u64(7);
         let mut on_time = 0;
         for _ in 0..1000 {
@@ -111,12 +111,12 @@
                     on_time += u32::from(at + SERVICE_TIME <= request.soft_deadline);
                     break;
                 }
-                at += retry_after(at);
+                at += backoff(at);
             }
         }
         on_time
     };
-    let in_burst = run(&|at| request.retry_after(at, deadline));
+    let in_burst = run(&|at| retry_after(at, deadline));
     let after_rejection = run(&|at| request.retry_after_rejection(at, deadline, 0));
     assert!(
         after_rejection > in_burst,
@@ -124,7 +124,7 @@
     );
     assert_eq!(
         request.retry_after_rejection(ms(0), deadline, 5),
-        request.retry_after(ms(0), deadline)
+        retry_after(ms(0), deadline)
     );
 }
 
--- a/control/tests/limits.rs
+++ b/control/tests/limits.rs
@@ -155,6 +155,7 @@
 #[case::just_signalled(Some(1000), 1000, Phase::Leaving)]
 #[case::two_checks_missed(Some(1000), 3500, Phase::Leaving)]
 #[case::finishing(Some(1000), 4000, Phase::Finishing)]
+#[case::last_responses(Some(1000), 6500, Phase::Responding)]
 #[case::grace_period_over(Some(1000), 6950, Phase::Ended)]
 fn shutdown_goes_through_its_phases(
     #[case] signalled_ms: Option<u64>,
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -16,6 +16,7 @@
 use lacewingmoor_control::selection::Estimate;
 
 use crate::connection::Connection;
+use crate::request_deadline::RequestDeadline;
 use crate::response::{ResponseBody, remove_hop_by_hop};
 use crate::shared_state::SharedState;
 use crate::target_limit;
@@ -29,6 +30,10 @@
 /// the target.
 const SHORT_ATTEMPT: Duration = Duration::from_millis(500);
 
+/// Time after the caller's timeout at which a body that is still being forwarded is cut off. A caller
+/// closes its connection before.
+const BODY_CUT_DELAY: Duration = Duration::from_secs(1);
+
 /// Weight of the newest response in `ServiceState::response_bytes`.
 const RESPONSE_SIZE_SMOOTHING: f64 = 0.1;
 
@@ -66,13 +71,10 @@
     pub service: &'a str,
     /// Whether the request may be run more than once.
     pub repeat: Repeat,
-    /// Time at which the timeout of the caller or of the route expires, whichever is first.
-    pub hard_deadline: Timestamp,
+    /// When the request must have its response.
+    pub deadline: &'a RequestDeadline,
     /// Time at which the caller's timeout expires.
     pub caller_deadline: Timestamp,
-    /// Time at which a body that is still being forwarded is cut off; `None` if the caller states no
-    /// timeout.
-    pub body_ends_by: Option<Timestamp>,
 }
 
 /// Counts a request as in flight at a target until dropped.
@@ -111,14 +113,14 @@
         let mut connection = candidate.connection;
         let _in_flight = AttemptInFlight::new(shared, target.id.clone());
         let sent_at = shared.now();
-        let remaining = self.hard_deadline.saturating_sub(sent_at);
+        let remaining = self.deadline.at().saturating_sub(sent_at);
         let request = self.build_request(shared, remaining, &target.id);
         shared.metrics.attempts.increment(1);
         if shared.with_target_stats(&target.id, |stats| stats.limit.get().is_some()) {
             shared.metrics.limited_attempts.increment(1);
         }
         let response =
-            tokio::time::timeout_at(shared.instant(self.hard_deadline), connection.send(request));
+            tokio::time::timeout_at(shared.instant(self.deadline.at()), connection.send(request));
         let result = match response.await {
             Err(_) => Err(AttemptError::new(Outcome::Broken, "no answer in time")),
             Ok(Err(e)) if e.is_not_written() => {
@@ -176,7 +178,7 @@
                 return;
             }
             // The attempt was cut short by the hard deadline, which is no measure of the target.
-            Err(_) if now >= self.hard_deadline && now.saturating_sub(sent_at) < SHORT_ATTEMPT => {
+            Err(_) if now >= self.deadline.at() && now.saturating_sub(sent_at) < SHORT_ATTEMPT => {
                 return;
             }
             Err(_) => false,
@@ -257,7 +259,7 @@
             buffered,
             body,
             connection,
-            self.body_ends_by,
+            self.caller_deadline + BODY_CUT_DELAY,
         );
         Ok(Response::from_parts(head, body))
     }
@@ -271,8 +273,7 @@
     }
 
     /// Reads the body until it ends or exceeds `READ_AHEAD_BYTES`. Returns what was read, and true if
-    /// it is the complete body. The route's timeout covers the time until the head; the body may take
-    /// until the caller's timeout.
+    /// it is the complete body.
     async fn read_ahead(
         &self,
         body: &mut Incoming,
--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -101,7 +101,7 @@
     // its caller without a response; `Connection: close` ends it after its response.
     let graceful_close_phase = match shared.phase() {
         Phase::Running => Phase::Leaving,
-        Phase::Leaving | Phase::Finishing | Phase::Ended => Phase::Finishing,
+        Phase::Leaving | Phase::Finishing | Phase::Responding | Phase::Ended => Phase::Finishing,
     };
     let mut closing = false;
     let graceful_close_phase_reached = shared.wait_for_phase(graceful_close_phase);
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod queue;
 pub mod registration;
 pub mod request;
+pub mod request_deadline;
 pub mod response;
 pub mod settings;
 pub mod shared_state;
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -195,10 +195,9 @@
 /// about to end.
 async fn wait_for_exit(shared: &SharedState) {
     loop {
-        match shared.phase() {
+        match shared.advance_phase() {
             Phase::Ended => return,
-            Phase::Finishing => {
-                shared.notify_finishing();
+            Phase::Finishing | Phase::Responding => {
                 // A connection closes once the last byte of its response is written.
                 if shared.caller_connections.get() == 0 {
                     return;
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -6,10 +6,11 @@
 
 use lacewingmoor_bundle::{Bundle, Route, Service};
 use lacewingmoor_control::admission::{
-    DequeueRate, PendingRequest, QueuePosition, Rank, select_queued,
+    DequeueRate, PendingRequest, QueuePosition, Rank, retry_after, select_queued,
 };
 use lacewingmoor_control::model::TargetId;
 use lacewingmoor_control::selection::Selector;
+use lacewingmoor_control::shutdown::Phase;
 use lacewingmoor_control::{Map, Timestamp};
 use tokio::sync::oneshot;
 
@@ -153,7 +154,8 @@
     service_time: Duration,
 ) -> Result<Candidate, Duration> {
     let (sender, mut receiver) = oneshot::channel();
-    let pending = search.pending.clone();
+    let mut pending = search.pending.clone();
+    pending.hard_deadline = shared.limit_to_shutdown(pending.hard_deadline);
     check_send_times(shared, search, service_time, Position::New)?;
     let start_probing = {
         let mut by_service = shared.queue.by_service.borrow_mut();
@@ -175,21 +177,60 @@
         let service = search.service.clone();
         tokio::task::spawn_local(probe_while_queued(shared.clone(), service));
     }
+    let shutdown = shared.wait_for_phase(Phase::Leaving);
+    tokio::pin!(shutdown);
+    let mut is_shutting_down = false;
     // From then on the request is late, and others come first.
-    let queue_deadline = pending.queue_deadline(service_time);
     let late_at = pending.soft_deadline.saturating_sub(service_time);
-    let late_at = late_at.min(queue_deadline);
-    if let Ok(candidate) = tokio::time::timeout_at(shared.instant(late_at), &mut receiver).await {
-        return candidate.map_err(|_| pending.retry_after(shared.now(), search.caller_deadline));
-    }
-    check_send_times(shared, search, service_time, Position::Queued)?;
-    let deadline = shared.instant(queue_deadline);
-    match tokio::time::timeout_at(deadline, receiver).await {
-        Ok(Ok(candidate)) => Ok(candidate),
-        _ => Err(pending.retry_after(shared.now(), search.caller_deadline)),
+    let mut recheck_at = Some(late_at.min(pending.queue_deadline(service_time)));
+    loop {
+        let leaves_at = pending.queue_deadline(service_time);
+        let wakes_at = recheck_at.unwrap_or(leaves_at).min(leaves_at);
+        tokio::select! {
+            biased;
+            candidate = &mut receiver => {
+                let retry_after = |_| retry_after(shared.now(), search.caller_deadline);
+                return candidate.map_err(retry_after);
+            }
+            () = &mut shutdown, if !is_shutting_down => {
+                is_shutting_down = true;
+                pending.hard_deadline = shared.limit_to_shutdown(pending.hard_deadline);
+                check_wait(shared, &search.service.name, &pending, service_time)?;
+            }
+            () = tokio::time::sleep_until(shared.instant(wakes_at)) => {
+                if recheck_at.take().is_none() || wakes_at >= leaves_at {
+                    return Err(retry_after(shared.now(), search.caller_deadline));
+                }
+                check_send_times(shared, search, service_time, Position::Queued)?;
+            }
+        }
     }
 }
 
+/// Checks whether a queued request gets its turn before its deadline, which a shutdown may have brought
+/// forward.
+///
+/// # Errors
+///
+/// Returns the time after which the caller may retry if it does not.
+fn check_wait(
+    shared: &SharedState,
+    service: &str,
+    pending: &PendingRequest,
+    service_time: Duration,
+) -> Result<(), Duration> {
+    let mut by_service = shared.queue.by_service.borrow_mut();
+    let Some(queue) = by_service.get_mut(service) else {
+        return Ok(());
+    };
+    let now = shared.now();
+    // Counts the request itself.
+    let ahead = queue
+        .count_ahead(now, pending, service_time)
+        .saturating_sub(1);
+    pending.check_queue_wait(now, ahead, &queue.dequeue_rate, service_time)
+}
+
 /// Whether a request is in the queue already.
 enum Position {
     New,
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -9,7 +9,7 @@
 use hyper::body::Incoming;
 use lacewingmoor_bundle::{Bundle, Repeat, Route, Service};
 use lacewingmoor_control::Timestamp;
-use lacewingmoor_control::admission::PendingRequest;
+use lacewingmoor_control::admission::{PendingRequest, retry_after};
 use lacewingmoor_control::attempt::{Attempts, FailureAction, hedge_at};
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget, RetryReason};
 use lacewingmoor_control::model::TargetId;
@@ -20,6 +20,7 @@
 use crate::attempt::{AttemptError, OutboundRequest};
 use crate::inbound::{host, prepare_for_target, read_body};
 use crate::metrics::record_request_end;
+use crate::request_deadline::{Expiry, RequestDeadline};
 use crate::response::{LocalResponse, ResponseBody};
 use crate::shared_state::{ServiceState, SharedState};
 use crate::target_search::{Candidate, TargetSearch};
@@ -27,10 +28,6 @@
 /// Timeout of a caller that states none.
 const CALLER_TIMEOUT_DEFAULT: Duration = Duration::from_secs(30);
 
-/// Time after the caller's timeout at which a body that is still being forwarded is cut off. A caller
-/// closes its connection before.
-const BODY_CUT_DELAY: Duration = Duration::from_secs(1);
-
 /// Longest time that a request waits for the first bundle of the process.
 const BUNDLE_WAIT: Duration = Duration::from_millis(250);
 
@@ -128,12 +125,46 @@
     at: Timestamp,
 }
 
+/// Where a request goes, and by when it ends.
+struct RequestPlan {
+    bundle: Rc<Bundle>,
+    route_id: usize,
+    service_id: usize,
+    /// When the caller times out.
+    caller_deadline: Timestamp,
+    deadline: RequestDeadline,
+}
+
+impl RequestPlan {
+    fn route(&self) -> &Route {
+        &self.bundle.routes[self.route_id]
+    }
+
+    fn service(&self) -> &Service {
+        &self.bundle.services[self.service_id]
+    }
+}
+
 impl RequestContext<'_> {
+    /// Handles the request. Whatever it waits for, it ends at its deadline, or when a shutdown gives the
+    /// last responses.
     async fn run(
         &mut self,
         head: &Parts,
         body: Incoming,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
+        let plan = self.plan(head).await?;
+        let shared = self.shared;
+        let expiry = tokio::select! {
+            biased;
+            end = self.handle(&plan, head, body) => return end,
+            expiry = plan.deadline.expiry(shared) => expiry,
+        };
+        Err(self.unanswered(&plan, expiry))
+    }
+
+    /// Selects route and service of the request.
+    async fn plan(&mut self, head: &Parts) -> Result<RequestPlan, LocalResponse> {
         let bundle = wait_for_bundle(self.shared)
             .await
             .ok_or_else(|| LocalResponse::not_run("no bundle yet", NO_BUNDLE_RETRY_AFTER))?;
@@ -143,41 +174,67 @@
             .ok_or(LocalResponse::invalid(StatusCode::NOT_FOUND, "no route"))?;
         self.route = Some((bundle.clone(), route_id));
         let route = &bundle.routes[route_id];
-        let service = self.select_service(&bundle, route)?;
+        let service_id = self.select_service(&bundle, route)?;
         let stated_timeout = self.shared.settings.dialect.caller_timeout(&head.headers);
         let caller_timeout = stated_timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
-        let body = read_body(body, bundle.limits.body_bytes_max).await?;
+        Ok(RequestPlan {
+            route_id,
+            service_id,
+            caller_deadline: self.arrived_at + caller_timeout,
+            deadline: RequestDeadline::new(self.arrived_at + caller_timeout.min(route.timeout)),
+            bundle,
+        })
+    }
+
+    async fn handle(
+        &mut self,
+        plan: &RequestPlan,
+        head: &Parts,
+        body: Incoming,
+    ) -> Result<Response<ResponseBody>, LocalResponse> {
+        let (route, service) = (plan.route(), plan.service());
+        let body = read_body(body, plan.bundle.limits.body_bytes_max).await?;
         let mut head = head.clone();
         prepare_for_target(&mut head);
-        let hard_deadline = self.arrived_at + caller_timeout.min(route.timeout);
         let outbound = OutboundRequest {
             request_id: self.shared.settings.dialect.request_id(&head.headers),
             head: &head,
             body: &body,
             repeat: route.repeat,
             service: &service.name,
-            hard_deadline,
-            caller_deadline: self.arrived_at + caller_timeout,
-            body_ends_by: stated_timeout.map(|timeout| self.arrived_at + timeout + BODY_CUT_DELAY),
+            deadline: &plan.deadline,
+            caller_deadline: plan.caller_deadline,
         };
+        let caller_timeout = plan.caller_deadline.saturating_sub(self.arrived_at);
         let search = TargetSearch {
-            bundle: &bundle,
-            route_id,
+            bundle: &plan.bundle,
+            route_id: plan.route_id,
             service,
             pending: PendingRequest {
                 soft_deadline: (self.arrived_at + route.objective)
                     .saturating_sub(self.elapsed_before_arrival(route, caller_timeout)),
-                hard_deadline,
+                hard_deadline: plan.deadline.at(),
                 priority: route.priority,
                 large_response: self.has_large_responses(service),
             },
-            caller_deadline: outbound.caller_deadline,
+            caller_deadline: plan.caller_deadline,
             tried: Vec::new(),
             rounds: 0,
         };
         self.run_attempts(&outbound, search).await
     }
 
+    /// Returns the response to a request that has none when it must end.
+    fn unanswered(&self, plan: &RequestPlan, expiry: Expiry) -> LocalResponse {
+        let Expiry::Shutdown = expiry;
+        let reason = "shutting down";
+        if self.attempts.may_have_run() {
+            return LocalResponse::unknown(StatusCode::BAD_GATEWAY, reason);
+        }
+        let now = self.shared.now();
+        LocalResponse::not_run(reason, retry_after(now, plan.caller_deadline))
+    }
+
     /// Estimates how long the caller has been retrying this request. The timeout that it states
     /// shrinks with each retry; assumes that all callers of a route start with the same one, the
     /// longest seen so far.
@@ -202,11 +259,7 @@
 
     /// Selects the service by the weights of the route's destinations, and counts the request in the
     /// retry budget of that service.
-    fn select_service<'b>(
-        &self,
-        bundle: &'b Bundle,
-        route: &Route,
-    ) -> Result<&'b Service, LocalResponse> {
+    fn select_service(&self, bundle: &Bundle, route: &Route) -> Result<usize, LocalResponse> {
         let service_id = {
             let mut splits = self.shared.route_splits.borrow_mut();
             match splits.get_mut(&route.name) {
@@ -235,7 +288,7 @@
         state
             .retry_budget
             .record_request(self.shared.now(), &self.shared.reloadable().retry);
-        Ok(service)
+        Ok(service_id)
     }
 
     async fn run_attempts(
@@ -273,9 +326,9 @@
             );
             self.last_failure = error.cause;
             match action {
-                FailureAction::Retry if self.shared.now() < outbound.hard_deadline => {}
+                FailureAction::Retry if self.shared.now() < outbound.deadline.at() => {}
                 FailureAction::Retry | FailureAction::Unknown if self.attempts.may_have_run() => {
-                    let status = match self.shared.now() >= outbound.hard_deadline {
+                    let status = match self.shared.now() >= outbound.deadline.at() {
                         true => StatusCode::GATEWAY_TIMEOUT,
                         false => StatusCode::BAD_GATEWAY,
                     };
--- a/entry/src/response.rs
+++ b/entry/src/response.rs
@@ -63,9 +63,9 @@
             source(cause)
             from()
         }
-        /// The body did not end by the timeout of its caller.
+        /// The body did not end by the deadline of its request.
         Timeout {
-            display("body has not ended by the caller's timeout")
+            display("body has not ended by the timeout of its route or caller")
         }
     }
 }
@@ -83,8 +83,8 @@
     buffered: Option<Bytes>,
     rest: Incoming,
     connection: Option<Connection>,
-    /// Elapses when the body is cut off; `None` if the caller states no timeout.
-    timeout: Option<Pin<Box<Sleep>>>,
+    /// Elapses when the body is cut off.
+    timeout: Pin<Box<Sleep>>,
     shared: Rc<SharedState>,
 }
 
@@ -98,14 +98,13 @@
         buffered: Bytes,
         rest: Incoming,
         connection: Connection,
-        ends_by: Option<Timestamp>,
+        ends_by: Timestamp,
     ) -> Self {
-        let sleep = |at| Box::pin(tokio::time::sleep_until(shared.instant(at)));
         Self::Streamed(StreamedBody {
             buffered: Some(buffered),
             rest,
             connection: Some(connection),
-            timeout: ends_by.map(sleep),
+            timeout: Box::pin(tokio::time::sleep_until(shared.instant(ends_by))),
             shared,
         })
     }
@@ -147,8 +146,7 @@
         if let Some(buffered) = self.buffered.take() {
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
-        let timeout = self.timeout.as_mut();
-        let frame = match timeout.is_some_and(|sleep| sleep.as_mut().poll(cx).is_ready()) {
+        let frame = match self.timeout.as_mut().poll(cx).is_ready() {
             true => Some(Err(BodyError::Timeout)),
             false => ready!(Pin::new(&mut self.rest).poll_frame(cx))
                 .map(|frame| frame.map_err(BodyError::from)),
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -198,13 +198,22 @@
         self.shutdown.borrow().phase(self.now(), grace)
     }
 
-    /// Notifies tasks that wait for [`Phase::Finishing`] that it has started.
-    pub fn notify_finishing(&self) {
-        self.phase_sender.send_replace(Phase::Finishing);
+    /// Notifies tasks that wait for a phase which phase the shutdown has reached, and returns it.
+    pub fn advance_phase(&self) -> Phase {
+        let phase = self.phase();
+        self.phase_sender
+            .send_if_modified(|notified| std::mem::replace(notified, phase) != phase);
+        phase
     }
 
-    /// Waits until the start of `phase` or a later one has been notified; [`Phase::Ended`] is not
-    /// notified.
+    /// Returns `deadline`, or when a shutdown that has started gives the last responses, whichever is
+    /// first.
+    pub fn limit_to_shutdown(&self, deadline: Timestamp) -> Timestamp {
+        let grace = self.reloadable().grace;
+        self.shutdown.borrow().limit_deadline(deadline, grace)
+    }
+
+    /// Waits until the start of `phase` or a later one has been notified.
     pub async fn wait_for_phase(&self, phase: Phase) {
         let mut phase_receiver = self.phase_sender.subscribe();
         // Cannot fail: `self` owns the sender.
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -2,14 +2,17 @@
 
 #![allow(dead_code, reason = "no test file uses every item")]
 
+use std::net::SocketAddr;
 use std::path::Path;
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http::Method;
+use lacewingmoor_control::model::Target;
 use lacewingmoor_standin::caller::{CallerRequest, ReceivedResponse, RequestResult, send_request};
 use lacewingmoor_standin::entry::EntryProcess;
 use lacewingmoor_standin::fleet::{Fleet, HOST, ServiceSpec};
+use lacewingmoor_standin::raw_target::{RawTarget, Script};
 
 /// Timeout for events that must happen. Tests assert that they happen, not when.
 pub const EVENT_TIMEOUT: Duration = Duration::from_secs(20);
@@ -83,3 +86,42 @@
         tokio::time::sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Returns the registration of a target of [`lanes`] that is not one of the fleet.
+pub fn raw_registration(id: &str, addr: SocketAddr) -> Target {
+    Target {
+        id: id.into(),
+        service: "lanes".into(),
+        addr,
+        zone: "north-a".into(),
+        region: "north".into(),
+        slots: 4,
+        draining: false,
+        warmup_left: Duration::ZERO,
+        started_unix_ms: Some(1),
+        sequence: None,
+    }
+}
+
+/// Registers a target that is not one of the fleet, and waits until the first entry knows it.
+pub async fn register_raw(fleet: &Fleet, id: &str, addr: SocketAddr) {
+    fleet.store.put_target(&raw_registration(id, addr));
+    until("the entry knows the target", async || {
+        let log = fleet.entries[0].log_text();
+        log.contains(&format!("target={id} change=Joined"))
+    })
+    .await;
+}
+
+/// Starts an entry whose only target sends what `script` says.
+pub async fn fleet_with_raw_target(script: Script) -> (Fleet, RawTarget) {
+    let no_targets = ServiceSpec {
+        targets_per_zone: 0,
+        ..lanes()
+    };
+    let fleet = fleet(&no_targets, 1).await;
+    let target = RawTarget::start(([127, 0, 0, 1], 0).into(), "raw", script).await;
+    let target = target.expect("the target starts");
+    register_raw(&fleet, "raw", target.addr()).await;
+    (fleet, target)
+}
--- a/entry/tests/untrusted_targets.rs
+++ b/entry/tests/untrusted_targets.rs
@@ -5,12 +5,11 @@
 
 use std::time::Duration;
 
-use common::{expect_response, fleet, read, write};
+use common::{expect_response, fleet_with_raw_target, read, write};
 use http::StatusCode;
-use lacewingmoor_control::model::Target;
 use lacewingmoor_standin::caller::{RequestResult, send_request};
-use lacewingmoor_standin::fleet::{Fleet, ServiceSpec};
-use lacewingmoor_standin::raw_target::{RawTarget, Script};
+use lacewingmoor_standin::fleet::Fleet;
+use lacewingmoor_standin::raw_target::Script;
 use rstest::rstest;
 
 /// Memory that a process may use at most: a fifth of that of the smallest VM.
@@ -19,34 +18,6 @@
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\nX-Lacewingmoor-Attempt-Id: {id}\r\n\
      X-Lacewingmoor-Server-Seal: seal\r\nContent-Length: 4\r\n\r\nbody";
 
-/// Starts an entry whose only target sends what `script` says.
-async fn fleet_with_raw_target(script: Script) -> (Fleet, RawTarget) {
-    let no_targets = ServiceSpec {
-        targets_per_zone: 0,
-        ..ServiceSpec::small("lanes")
-    };
-    let fleet = fleet(&no_targets, 1).await;
-    let target = RawTarget::start(([127, 0, 0, 1], 0).into(), "raw", script).await;
-    let target = target.expect("the target starts");
-    fleet.store.put_target(&Target {
-        id: "raw".into(),
-        service: "lanes".into(),
-        addr: target.addr(),
-        zone: "north-a".into(),
-        region: "north".into(),
-        slots: 4,
-        draining: false,
-        warmup_left: Duration::ZERO,
-        started_unix_ms: Some(1),
-        sequence: None,
-    });
-    common::until("the entry knows the target", async || {
-        fleet.entries[0].log_text().contains("target=raw")
-    })
-    .await;
-    (fleet, target)
-}
-
 /// Returns the peak memory of the entry in kilobytes.
 fn peak_memory_kb(fleet: &Fleet) -> u64 {
     let status = format!("/proc/{}/status", fleet.entries[0].id());
--- a/standin/src/raw_target.rs
+++ b/standin/src/raw_target.rs
@@ -15,6 +15,9 @@
 /// Pause between two repetitions of endless bytes.
 const REPEAT_PAUSE: Duration = Duration::from_micros(200);
 
+/// Why the locks are never poisoned.
+const NO_PANIC: &str = "no task panics with the lock";
+
 /// What a target sends in response to a request; `{id}` stands for the id of the request.
 #[derive(Clone, Debug)]
 pub enum Script {
@@ -25,14 +28,27 @@
     /// Sends these bytes, and once more when the next request arrives on the connection, before the
     /// response to that one.
     SecondCopy(String),
+    /// Sends these bytes and closes the connection.
+    Close(String),
+    /// Follows the first script for the first request that it gets, and the second one from then on.
+    Then(Box<Script>, Box<Script>),
+    /// Sends nothing, not even in response to probes.
+    Silent,
+}
+
+/// State that the connections of a target share, and those of all targets with the same script.
+struct Shared {
+    script: Mutex<Script>,
+    load: Mutex<&'static str>,
+    request_count: AtomicU64,
+    open_requests: AtomicU64,
 }
 
 /// A running target. Dropping it closes the listener.
 pub struct RawTarget {
     addr: SocketAddr,
     accept_task: tokio::task::JoinHandle<()>,
-    request_count: Arc<AtomicU64>,
-    script: Arc<Mutex<Script>>,
+    shared: Arc<Shared>,
 }
 
 impl RawTarget {
@@ -43,23 +59,39 @@
     ///
     /// Returns an error if the address cannot be bound.
     pub async fn start(addr: SocketAddr, id: &str, script: Script) -> io::Result<Self> {
+        let shared = Arc::new(Shared {
+            script: Mutex::new(script),
+            load: Mutex::new("0,0,4,100"),
+            request_count: AtomicU64::new(0),
+            open_requests: AtomicU64::new(0),
+        });
+        Self::start_sharing(addr, id, shared).await
+    }
+
+    /// Starts another target that shares script, load and counts with this one.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address cannot be bound.
+    pub async fn start_another(&self, addr: SocketAddr, id: &str) -> io::Result<Self> {
+        Self::start_sharing(addr, id, self.shared.clone()).await
+    }
+
+    async fn start_sharing(addr: SocketAddr, id: &str, shared: Arc<Shared>) -> io::Result<Self> {
         let listener = TcpListener::bind(addr).await?;
         let addr = listener.local_addr()?;
-        let request_count = Arc::new(AtomicU64::new(0));
-        let script = Arc::new(Mutex::new(script));
-        let (count, current, id) = (request_count.clone(), script.clone(), id.to_owned());
+        let (state, id) = (shared.clone(), id.to_owned());
         let accept_task = tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
-                let (count, current, id) = (count.clone(), current.clone(), id.clone());
+                let (state, id) = (state.clone(), id.clone());
                 // An error means that the other end has closed the connection.
-                tokio::spawn(async move { serve(stream, &id, &current, &count).await.ok() });
+                tokio::spawn(async move { serve(stream, &id, &state).await.ok() });
             }
         });
         Ok(Self {
             addr,
             accept_task,
-            request_count,
-            script,
+            shared,
         })
     }
 
@@ -70,7 +102,12 @@
 
     /// Returns the number of requests received so far, without probes.
     pub fn request_count(&self) -> u64 {
-        self.request_count.load(Ordering::Relaxed)
+        self.shared.request_count.load(Ordering::Relaxed)
+    }
+
+    /// Returns the number of requests whose connection is open and has brought no further request.
+    pub fn open_requests(&self) -> u64 {
+        self.shared.open_requests.load(Ordering::Relaxed)
     }
 
     /// Replaces the script for requests that arrive from now on.
@@ -79,7 +116,16 @@
     ///
     /// Panics if a connection task panicked while it read the script.
     pub fn set_script(&self, script: Script) {
-        *self.script.lock().expect("no task panics with the lock") = script;
+        *self.shared.script.lock().expect(NO_PANIC) = script;
+    }
+
+    /// Sets the load that the target reports to probes, in the form of the header field.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a connection task panicked while it read the load.
+    pub fn set_load(&self, load: &'static str) {
+        *self.shared.load.lock().expect(NO_PANIC) = load;
     }
 }
 
@@ -89,32 +135,61 @@
     }
 }
 
-async fn serve(
-    mut stream: TcpStream,
-    id: &str,
-    script: &Mutex<Script>,
-    request_count: &AtomicU64,
-) -> io::Result<()> {
+/// Counts a request as open until dropped.
+struct OpenRequest<'a>(&'a Shared);
+
+impl<'a> OpenRequest<'a> {
+    fn new(shared: &'a Shared) -> Self {
+        shared.request_count.fetch_add(1, Ordering::Relaxed);
+        shared.open_requests.fetch_add(1, Ordering::Relaxed);
+        Self(shared)
+    }
+}
+
+impl Drop for OpenRequest<'_> {
+    fn drop(&mut self) {
+        self.0.open_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+}
+
+/// Returns the script for the next request.
+fn next_script(shared: &Shared) -> Script {
+    let mut script = shared.script.lock().expect(NO_PANIC);
+    match script.clone() {
+        Script::Then(first, rest) => {
+            *script = *rest;
+            *first
+        }
+        other => other,
+    }
+}
+
+async fn serve(mut stream: TcpStream, id: &str, shared: &Shared) -> io::Result<()> {
     let mut second_copy = None;
+    let mut _open_request = None;
     loop {
         let head = read_head(&mut stream).await?;
         if let Some(copy) = second_copy.take() {
             let copy: String = copy;
             stream.write_all(copy.as_bytes()).await?;
         }
+        let is_silent = matches!(*shared.script.lock().expect(NO_PANIC), Script::Silent);
         if head.starts_with(&format!("GET {HEALTH_PATH} ")) {
+            if is_silent {
+                continue;
+            }
+            let load = *shared.load.lock().expect(NO_PANIC);
             let response = format!(
-                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: 0,0,4,100\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {load}\r\nContent-Length: 0\r\n\r\n",
                 headers::INSTANCE_ID,
                 headers::SERVER_LOAD,
             );
             stream.write_all(response.as_bytes()).await?;
             continue;
         }
-        request_count.fetch_add(1, Ordering::Relaxed);
-        let script = script.lock().expect("no task panics with the lock").clone();
+        _open_request = Some(OpenRequest::new(shared));
         let fill_in = |text: &str| text.replace("{id}", request_id(&head));
-        match script {
+        match next_script(shared) {
             Script::Once(text) => stream.write_all(fill_in(&text).as_bytes()).await?,
             Script::SecondCopy(text) => {
                 let text = fill_in(&text);
@@ -128,6 +203,11 @@
                     tokio::time::sleep(REPEAT_PAUSE).await;
                 }
             }
+            Script::Close(text) => {
+                stream.write_all(fill_in(&text).as_bytes()).await?;
+                return stream.shutdown().await;
+            }
+            Script::Then(..) | Script::Silent => {}
         }
     }
 }
