End every request at the timeout of its route or caller

Cause: the route's timeout covered only the time until a response's head. Reading the body, of a rejection too, went on until the caller's timeout, a forwarded body until a second later; a caller's own body, connects and probes had no limit that knew of the request.

Evidence: attempt_failed why="answer not whole in time" at the caller's timeout, then status 504. The request line comes at the same moment, so a late write is ruled out.

A response whose head has arrived gets 150 ms more. A rejection counts from its head on, the rest is read apart from the request. A caller whose body has not come in gets 408.

Why it works: one place ends the request, and the statement about the outcome comes from the sends that are open.

Test: every_request_has_its_response_by_its_timeout, ten states against the timeouts of route and caller.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use http::request::Parts;
 use http::{Request, Response, StatusCode, response};
-use http_body_util::BodyExt as _;
+use http_body_util::{BodyExt as _, Limited};
 use hyper::body::Incoming;
 use lacewingmoor_bundle::Repeat;
 use lacewingmoor_control::Timestamp;
@@ -30,9 +30,11 @@
 /// the target.
 const SHORT_ATTEMPT: Duration = Duration::from_millis(500);
 
-/// Time after the caller's timeout at which a body that is still being forwarded is cut off. A caller
-/// closes its connection before.
-const BODY_CUT_DELAY: Duration = Duration::from_secs(1);
+/// Longest time for which the body of a rejection is read, so that its connection can be reused.
+const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Length of a rejection's body above which its connection is closed.
+const REJECTION_BYTES_MAX: usize = 16 * 1024;
 
 /// Weight of the newest response in `ServiceState::response_bytes`.
 const RESPONSE_SIZE_SMOOTHING: f64 = 0.1;
@@ -214,14 +216,7 @@
                 _ => Outcome::NotRun,
             };
             let cause = format!("status {}, not run", head.status.as_u16());
-            // Reads the rest of the rejection, so that the connection can be reused.
-            if self
-                .read_ahead(&mut body, shared)
-                .await
-                .is_ok_and(|(_, complete)| complete)
-            {
-                shared.pool.put(connection);
-            }
+            tokio::task::spawn_local(reuse_after_rejection(shared.clone(), body, connection));
             return Err(AttemptError::new(outcome, cause));
         }
         let signed = dialect.is_signed(headers);
@@ -237,6 +232,7 @@
             let cause = format!("status {} without a statement", head.status.as_u16());
             return Err(AttemptError::new(Outcome::Broken, cause));
         }
+        self.deadline.record_response_head();
         let (buffered, complete) = self.read_ahead(&mut body, shared).await?;
         let load = dialect.load(&head.headers, target.slots);
         remove_hop_by_hop(&mut head.headers);
@@ -259,7 +255,7 @@
             buffered,
             body,
             connection,
-            self.caller_deadline + BODY_CUT_DELAY,
+            self.deadline.body_ends_by(),
         );
         Ok(Response::from_parts(head, body))
     }
@@ -280,7 +276,7 @@
         shared: &SharedState,
     ) -> Result<(Bytes, bool), AttemptError> {
         let mut buffered = BytesMut::new();
-        let deadline = shared.instant(self.caller_deadline);
+        let deadline = shared.instant(self.deadline.body_ends_by());
         loop {
             let frame = tokio::time::timeout_at(deadline, body.frame()).await;
             let frame = match frame {
@@ -309,6 +305,15 @@
     }
 }
 
+/// Returns the connection to the pool once the rest of a rejection has been read. Nothing waits for it:
+/// its head says all.
+async fn reuse_after_rejection(shared: Rc<SharedState>, body: Incoming, connection: Connection) {
+    let body = Limited::new(body, REJECTION_BYTES_MAX).collect();
+    if let Ok(Ok(_)) = tokio::time::timeout(REJECTION_BODY_TIMEOUT, body).await {
+        shared.pool.put(connection);
+    }
+}
+
 /// Returns true if callers take the status to mean that the request was not run.
 fn implies_not_run(status: StatusCode) -> bool {
     matches!(
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -1,5 +1,6 @@
 //! Handling of one request: selects the route, reads the body, sends it to targets and responds.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,6 +16,7 @@
 use lacewingmoor_control::model::TargetId;
 use lacewingmoor_control::selection::Estimate;
 use lacewingmoor_control::selection::ServiceTime;
+use lacewingmoor_derive::copy_value;
 use slog::{debug, info};
 
 use crate::attempt::{AttemptError, OutboundRequest};
@@ -107,6 +109,15 @@
     Ok(end.response)
 }
 
+/// What is being done with a request.
+#[copy_value]
+enum Stage {
+    /// Its body is still coming in.
+    ReadingRequest,
+    /// A target is searched, or has it.
+    Serving,
+}
+
 /// State of a request that is being handled.
 struct RequestContext<'a> {
     shared: &'a Rc<SharedState>,
@@ -155,12 +166,13 @@
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         let plan = self.plan(head).await?;
         let shared = self.shared;
+        let stage = Cell::new(Stage::ReadingRequest);
         let expiry = tokio::select! {
             biased;
-            end = self.handle(&plan, head, body) => return end,
+            end = self.handle(&plan, head, body, &stage) => return end,
             expiry = plan.deadline.expiry(shared) => expiry,
         };
-        Err(self.unanswered(&plan, expiry))
+        Err(self.unanswered(&plan, stage.get(), expiry))
     }
 
     /// Selects route and service of the request.
@@ -191,9 +203,11 @@
         plan: &RequestPlan,
         head: &Parts,
         body: Incoming,
+        stage: &Cell<Stage>,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         let (route, service) = (plan.route(), plan.service());
         let body = read_body(body, plan.bundle.limits.body_bytes_max).await?;
+        stage.set(Stage::Serving);
         let mut head = head.clone();
         prepare_for_target(&mut head);
         let outbound = OutboundRequest {
@@ -225,11 +239,23 @@
     }
 
     /// Returns the response to a request that has none when it must end.
-    fn unanswered(&self, plan: &RequestPlan, expiry: Expiry) -> LocalResponse {
-        let Expiry::Shutdown = expiry;
-        let reason = "shutting down";
+    fn unanswered(&self, plan: &RequestPlan, stage: Stage, expiry: Expiry) -> LocalResponse {
+        let reason = match expiry {
+            Expiry::Deadline => "timed out",
+            Expiry::Shutdown => "shutting down",
+        };
         if self.attempts.may_have_run() {
-            return LocalResponse::unknown(StatusCode::BAD_GATEWAY, reason);
+            let status = match expiry {
+                Expiry::Deadline => StatusCode::GATEWAY_TIMEOUT,
+                Expiry::Shutdown => StatusCode::BAD_GATEWAY,
+            };
+            return LocalResponse::unknown(status, reason);
+        }
+        if (stage, expiry) == (Stage::ReadingRequest, Expiry::Deadline) {
+            return LocalResponse::invalid(
+                StatusCode::REQUEST_TIMEOUT,
+                "body not received in time",
+            );
         }
         let now = self.shared.now();
         LocalResponse::not_run(reason, retry_after(now, plan.caller_deadline))
--- a/entry/src/request_deadline.rs
+++ b/entry/src/request_deadline.rs
@@ -1,14 +1,24 @@
 //! When a request must have its response, whatever it is waiting for.
 
+use std::cell::Cell;
+use std::time::Duration;
+
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::shutdown::Phase;
 use lacewingmoor_derive::copy_value;
 
 use crate::shared_state::SharedState;
 
+/// Time after its deadline within which a response may end whose head arrived before. A request must
+/// have its response within 500 ms of its route's timeout; the rest is for a process that gets little
+/// processor time.
+const RESPONSE_BODY_GRACE: Duration = Duration::from_millis(150);
+
 /// Why a request must end.
 #[copy_value]
 pub enum Expiry {
+    /// The timeout of the route or of the caller has expired.
+    Deadline,
     /// The process is shutting down and gives the last responses.
     Shutdown,
 }
@@ -16,12 +26,16 @@
 /// Deadline of a request: the end of the caller's timeout or of the route's, whichever is first.
 pub struct RequestDeadline {
     at: Timestamp,
+    has_response_head: Cell<bool>,
 }
 
 impl RequestDeadline {
     /// Returns a deadline at `at`.
     pub fn new(at: Timestamp) -> Self {
-        Self { at }
+        Self {
+            at,
+            has_response_head: Cell::new(false),
+        }
     }
 
     /// Returns the time at which the deadline passes.
@@ -29,9 +43,27 @@
         self.at
     }
 
+    /// Returns the time by which the body of a response must end whose head has arrived.
+    pub fn body_ends_by(&self) -> Timestamp {
+        self.at + RESPONSE_BODY_GRACE
+    }
+
+    /// Records that the head of a response has arrived, so that the request waits for its body.
+    pub fn record_response_head(&self) {
+        self.has_response_head.set(true);
+    }
+
     /// Waits until the request must end, and returns why.
     pub async fn expiry(&self, shared: &SharedState) -> Expiry {
-        shared.wait_for_phase(Phase::Responding).await;
-        Expiry::Shutdown
+        let deadline = async {
+            tokio::time::sleep_until(shared.instant(self.at)).await;
+            if self.has_response_head.get() {
+                tokio::time::sleep_until(shared.instant(self.body_ends_by())).await;
+            }
+        };
+        tokio::select! {
+            () = deadline => Expiry::Deadline,
+            () = shared.wait_for_phase(Phase::Responding) => Expiry::Shutdown,
+        }
     }
 }
--- a/entry/tests/request_ends.rs
+++ b/entry/tests/request_ends.rs
@@ -14,9 +14,15 @@
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
+/// Timeout that ends the request, of the route or of the caller; the other one is [`LONG_TIMEOUT`].
+const SHORT_TIMEOUT: Duration = Duration::from_millis(1000);
+
 /// Timeout that ends no request of these tests.
 const LONG_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Time after its route's timeout by which a request must have its response.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+
 /// Time after its caller has left by which no target may be at work on a request.
 const LEAVE_SLACK: Duration = Duration::from_millis(500);
 
@@ -83,6 +89,30 @@
     }
 }
 
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Event {
+    RouteTimeout,
+    CallerTimeout,
+    CallerLeaves,
+    Stop,
+}
+
+impl Event {
+    fn route_timeout(self) -> Duration {
+        match self {
+            Event::RouteTimeout => SHORT_TIMEOUT,
+            Event::CallerTimeout | Event::CallerLeaves | Event::Stop => LONG_TIMEOUT,
+        }
+    }
+
+    fn caller_timeout(self) -> Duration {
+        match self {
+            Event::CallerTimeout => SHORT_TIMEOUT,
+            Event::RouteTimeout | Event::CallerLeaves | Event::Stop => LONG_TIMEOUT,
+        }
+    }
+}
+
 /// A listener whose queue of new connections is full, so that further ones are not answered.
 struct FullListener {
     addr: SocketAddr,
@@ -119,11 +149,11 @@
 }
 
 impl Setup {
-    async fn new(state: State) -> Self {
+    async fn new(state: State, event: Event) -> Self {
         let (fleet, target) = fleet_with_raw_target(state.script()).await;
         let mut bundle = fleet::bundle(2, std::slice::from_ref(&lanes()));
         for route in &mut bundle.routes {
-            route.timeout_ms = LONG_TIMEOUT.as_millis() as u64;
+            route.timeout_ms = event.route_timeout().as_millis() as u64;
         }
         fleet.store.put_bundle(&bundle);
         let mut second = None;
@@ -166,7 +196,7 @@
     }
 
     /// Sends a request and waits until it is in its state.
-    async fn send(&self, state: State) -> TcpStream {
+    async fn send(&self, state: State, event: Event) -> TcpStream {
         let (method, path) = match state {
             // Only these are sent twice.
             State::Retried | State::Hedged => ("GET", "/lanes/read/1"),
@@ -180,7 +210,7 @@
             "{method} {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Lacewingmoor-Attempt-Id: r-1\r\n\
              X-Lacewingmoor-Deadline-Ms: {}\r\nContent-Length: {length}\r\n\
              Connection: close\r\n\r\n{}",
-            LONG_TIMEOUT.as_millis(),
+            event.caller_timeout().as_millis(),
             &"abc"[..length.min(3)],
         );
         let stream = TcpStream::connect(self.fleet.entries[0].caller_addr).await;
@@ -232,14 +262,19 @@
     }
 
     /// Checks that the response is complete and true.
-    fn check(&self, state: State, setup: &Setup) {
+    fn check(&self, state: State, event: Event, setup: &Setup) {
         let log = setup.fleet.entries[0].log_text();
         if state == State::Streaming {
             assert_eq!(self.status(), "200", "{log}");
             assert!(self.text.len() < STREAMED_BYTES, "the body is cut off");
             return;
         }
-        let expected = if state.sends() > 0 { "502" } else { "503" };
+        let expected = match (state, event) {
+            (State::BodyComingIn, Event::RouteTimeout | Event::CallerTimeout) => "408",
+            (_, Event::Stop) if state.sends() > 0 => "502",
+            _ if state.sends() > 0 => "504",
+            _ => "503",
+        };
         assert_eq!(self.status(), expected, "{log}");
         if expected == "503" {
             assert!(self.text.contains("retry-after: "), "{}", self.text);
@@ -248,6 +283,33 @@
     }
 }
 
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn every_request_has_its_response_by_its_timeout(
+    #[values(
+        State::BodyComingIn,
+        State::Queued,
+        State::Connecting,
+        State::Probing,
+        State::Sent,
+        State::HeadPart,
+        State::BodyPart,
+        State::Retried,
+        State::Hedged,
+        State::Streaming
+    )]
+    state: State,
+    #[values(Event::RouteTimeout, Event::CallerTimeout)] event: Event,
+) {
+    let setup = Setup::new(state, event).await;
+    let sent_at = Instant::now();
+    let stream = setup.send(state, event).await;
+    let received = Received::read(stream, sent_at).await;
+    received.check(state, event, &setup);
+    let limit = SHORT_TIMEOUT + RESPONSE_SLACK;
+    assert!(received.after <= limit, "{:?}", received.after);
+}
+
 #[rstest]
 #[case::body_coming_in(State::BodyComingIn)]
 #[case::queued(State::Queued)]
@@ -261,12 +323,12 @@
 #[case::streaming(State::Streaming)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn every_request_has_its_response_before_a_stop_ends(#[case] state: State) {
-    let mut setup = Setup::new(state).await;
-    let stream = setup.send(state).await;
+    let mut setup = Setup::new(state, Event::Stop).await;
+    let stream = setup.send(state, Event::Stop).await;
     let signalled_at = Instant::now();
     setup.fleet.entries[0].signal(libc::SIGTERM);
     let received = Received::read(stream, signalled_at).await;
-    received.check(state, &setup);
+    received.check(state, Event::Stop, &setup);
     assert!(received.after <= GRACE, "{:?}", received.after);
     if state.sends() > 0 {
         // A target that is at work is left to it until the last sixth of the grace period.
@@ -292,8 +354,8 @@
 #[case::streaming(State::Streaming)]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn nothing_works_on_a_request_whose_caller_has_left(#[case] state: State) {
-    let setup = Setup::new(state).await;
-    let stream = setup.send(state).await;
+    let setup = Setup::new(state, Event::CallerLeaves).await;
+    let stream = setup.send(state, Event::CallerLeaves).await;
     drop(stream);
     tokio::time::sleep(LEAVE_SLACK).await;
     assert_eq!(setup.in_flight().await, "0");
