Don't count the time in which a caller does not read a body

A caller that pauses for longer than that lost the rest of a response of which its target had sent all (shutdown_waits_until_a_slow_caller_has_the_whole_response failed).

Change: pauses of 100 ms and more in which the caller takes no bytes are added to the deadline of the body, up to a second after the caller's own timeout. Shorter ones may come from this process, and a body without end must not earn time by them.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -30,6 +30,10 @@
 /// the target.
 const SHORT_ATTEMPT: Duration = Duration::from_millis(500);
 
+/// Time after the caller's timeout at which a body that the caller does not read is cut off. A caller
+/// closes its connection before.
+const BODY_CUT_DELAY: Duration = Duration::from_secs(1);
+
 /// Longest time for which the body of a rejection is read, so that its connection can be reused.
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(400);
 
@@ -256,6 +260,7 @@
             body,
             connection,
             self.deadline.body_ends_by(),
+            self.caller_deadline + BODY_CUT_DELAY,
         );
         Ok(Response::from_parts(head, body))
     }
--- a/entry/src/response.rs
+++ b/entry/src/response.rs
@@ -13,7 +13,7 @@
 use lacewingmoor_control::Timestamp;
 use quick_error::quick_error;
 use slog::warn;
-use tokio::time::Sleep;
+use tokio::time::{Instant, Sleep};
 
 use crate::connection::Connection;
 use crate::shared_state::SharedState;
@@ -21,6 +21,10 @@
 /// Shortest retry-after of a refused request.
 const RETRY_AFTER_MIN: Duration = Duration::from_millis(50);
 
+/// Time for which a caller takes no bytes of a body after which it counts as not reading. Shorter pauses
+/// may come from this process.
+const CALLER_STALL_MIN: Duration = Duration::from_millis(100);
+
 /// Hop-by-hop fields, which apply to a single connection: those that RFC 9110, section 7.6.1, or
 /// RFC 2616, section 13.5.1, lists.
 static HOP_BY_HOP: [HeaderName; 9] = [
@@ -85,12 +89,17 @@
     connection: Option<Connection>,
     /// Elapses when the body is cut off.
     timeout: Pin<Box<Sleep>>,
+    /// When the body is cut off even if the caller does not read.
+    latest_end: Instant,
+    /// When the last bytes were handed over, if no more have been asked for since.
+    handed_over_at: Option<Instant>,
     shared: Rc<SharedState>,
 }
 
 impl ResponseBody {
     /// Forwards the `buffered` start and then the `rest` from `connection`, which goes back to the
-    /// pool at the end of the body. The body is cut off at `ends_by`.
+    /// pool at the end of the body. The body is cut off at `ends_by`; time in which the caller does not
+    /// read is added, up to `latest_end`.
     ///
     /// Fault: a target sends bytes without end, and the caller does not close its connection.
     pub fn streamed(
@@ -99,12 +108,15 @@
         rest: Incoming,
         connection: Connection,
         ends_by: Timestamp,
+        latest_end: Timestamp,
     ) -> Self {
         Self::Streamed(StreamedBody {
             buffered: Some(buffered),
             rest,
             connection: Some(connection),
             timeout: Box::pin(tokio::time::sleep_until(shared.instant(ends_by))),
+            latest_end: shared.instant(latest_end),
+            handed_over_at: None,
             shared,
         })
     }
@@ -144,8 +156,10 @@
 impl StreamedBody {
     fn poll(&mut self, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
         if let Some(buffered) = self.buffered.take() {
+            self.handed_over_at = Some(Instant::now());
             return Poll::Ready(Some(Ok(Frame::data(buffered))));
         }
+        self.add_caller_stall();
         let frame = match self.timeout.as_mut().poll(cx).is_ready() {
             true => Some(Err(BodyError::Timeout)),
             false => ready!(Pin::new(&mut self.rest).poll_frame(cx))
@@ -163,10 +177,23 @@
                 warn!(self.shared.log, "answer_cut"; "cause" => %error);
                 crate::metrics::record_request_end("cut");
             }
-            Some(Ok(_)) => {}
+            Some(Ok(_)) => self.handed_over_at = Some(Instant::now()),
         }
         Poll::Ready(frame)
     }
+
+    /// Moves the timeout by the time in which the caller did not read: it is no time that the target
+    /// took.
+    fn add_caller_stall(&mut self) {
+        let Some(handed_over_at) = self.handed_over_at.take() else {
+            return;
+        };
+        let stall = handed_over_at.elapsed();
+        if stall >= CALLER_STALL_MIN {
+            let ends_at = (self.timeout.deadline() + stall).min(self.latest_end);
+            self.timeout.as_mut().reset(ends_at);
+        }
+    }
 }
 
 /// A response that the entry generates itself.
