Take a refusal only for the request whose id it bears

Cause, two ways: 1. a response that states "not run" without any request id counted for whichever request was waiting. 2. after a 421, the connection went back to the pool. The same request was then sent to the same address for another target over it, and a second copy of the 421, which bears the right id, was taken for its response while it ran.

Ruled out: a copy that bears another id, and a refused hedge; both were safe.

Change: where the request has an id, a statement "not run" without it is an unknown outcome. A connection that brought a 421 is closed, so no second send of a request shares a connection with a refusal of it: all other sends go to other targets, and a server that is another one answers 421.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -215,13 +215,7 @@
             target_limit::record(shared, &target.id, headers, ResponseKind::Request);
         }
         if dialect.is_not_run(head.status, headers) {
-            let outcome = match head.status {
-                StatusCode::MISDIRECTED_REQUEST => Outcome::Misdirected,
-                _ => Outcome::NotRun,
-            };
-            let cause = format!("status {}, not run", head.status.as_u16());
-            tokio::task::spawn_local(reuse_after_rejection(shared.clone(), body, connection));
-            return Err(AttemptError::new(outcome, cause));
+            return Err(self.refused(shared, &head, body, connection));
         }
         let signed = dialect.is_signed(headers);
         if head.status.is_success() && !signed {
@@ -265,6 +259,32 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Returns the outcome of a response which states that the target did not run the request.
+    ///
+    /// Fault: a target writes an earlier refusal once more, as the response to a request that it runs.
+    fn refused(
+        &self,
+        shared: &Rc<SharedState>,
+        head: &response::Parts,
+        body: Incoming,
+        connection: Connection,
+    ) -> AttemptError {
+        let status = head.status.as_u16();
+        let named_id = shared.settings.dialect.request_id(&head.headers);
+        if self.request_id.is_some() && named_id != self.request_id {
+            let cause = format!("status {status}, not run, without the id of the request");
+            return AttemptError::new(Outcome::Broken, cause);
+        }
+        let cause = format!("status {status}, not run");
+        if head.status == StatusCode::MISDIRECTED_REQUEST {
+            // The connection is closed: the request may be sent to the address once more, for the target
+            // that has it now, and a second copy of this refusal would be taken for its response.
+            return AttemptError::new(Outcome::Misdirected, cause);
+        }
+        tokio::task::spawn_local(reuse_after_rejection(shared.clone(), body, connection));
+        AttemptError::new(Outcome::NotRun, cause)
+    }
+
     /// Updates the mean response size with the buffered `bytes` of a response. The rest of a
     /// streamed response is not counted.
     fn record_response_size(&self, shared: &SharedState, bytes: usize) {
--- a/standin/src/raw_target.rs
+++ b/standin/src/raw_target.rs
@@ -15,6 +15,9 @@
 /// Pause between two repetitions of endless bytes.
 const REPEAT_PAUSE: Duration = Duration::from_micros(200);
 
+/// Time between the last bytes and a reset.
+const RESET_DELAY: Duration = Duration::from_millis(20);
+
 /// Why the locks are never poisoned.
 const NO_PANIC: &str = "no task panics with the lock";
 
@@ -28,8 +31,13 @@
     /// Sends these bytes, and once more when the next request arrives on the connection, before the
     /// response to that one.
     SecondCopy(String),
+    /// Sends these bytes, and once more before the response to the next request on the connection,
+    /// probes not counted.
+    LateCopy(String),
     /// Sends these bytes and closes the connection.
     Close(String),
+    /// Sends these bytes and resets the connection a moment later.
+    Reset(String),
     /// Follows the first script for the first request that it gets, and the second one from then on.
     Then(Box<Script>, Box<Script>),
     /// Sends nothing, not even in response to probes.
@@ -119,7 +127,8 @@
         *self.shared.script.lock().expect(NO_PANIC) = script;
     }
 
-    /// Sets the load that the target reports to probes, in the form of the header field.
+    /// Sets the load that the target reports to probes, in the form of the header field; none if it is
+    /// empty.
     ///
     /// # Panics
     ///
@@ -166,6 +175,7 @@
 
 async fn serve(mut stream: TcpStream, id: &str, shared: &Shared) -> io::Result<()> {
     let mut second_copy = None;
+    let mut late_copy: Option<String> = None;
     let mut _open_request = None;
     loop {
         let head = read_head(&mut stream).await?;
@@ -178,16 +188,21 @@
             if is_silent {
                 continue;
             }
-            let load = *shared.load.lock().expect(NO_PANIC);
+            let load = match *shared.load.lock().expect(NO_PANIC) {
+                "" => String::new(),
+                load => format!("{}: {load}\r\n", headers::SERVER_LOAD),
+            };
             let response = format!(
-                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{}: {load}\r\nContent-Length: 0\r\n\r\n",
+                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{load}Content-Length: 0\r\n\r\n",
                 headers::INSTANCE_ID,
-                headers::SERVER_LOAD,
             );
             stream.write_all(response.as_bytes()).await?;
             continue;
         }
         _open_request = Some(OpenRequest::new(shared));
+        if let Some(copy) = late_copy.take() {
+            stream.write_all(copy.as_bytes()).await?;
+        }
         let fill_in = |text: &str| text.replace("{id}", request_id(&head));
         match next_script(shared) {
             Script::Once(text) => stream.write_all(fill_in(&text).as_bytes()).await?,
@@ -203,6 +218,18 @@
                     tokio::time::sleep(REPEAT_PAUSE).await;
                 }
             }
+            Script::LateCopy(text) => {
+                let text = fill_in(&text);
+                stream.write_all(text.as_bytes()).await?;
+                late_copy = Some(text);
+            }
+            Script::Reset(text) => {
+                stream.write_all(fill_in(&text).as_bytes()).await?;
+                // What has been sent before is read first.
+                tokio::time::sleep(RESET_DELAY).await;
+                stream.set_zero_linger()?;
+                return Ok(());
+            }
             Script::Close(text) => {
                 stream.write_all(fill_in(&text).as_bytes()).await?;
                 return stream.shutdown().await;
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -6,7 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http::{HeaderValue, Request, Response, StatusCode};
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use lacewingmoor_platform::headers;
@@ -242,7 +242,9 @@
     let (head, body) = request.into_parts();
     let expected = head.headers.get(headers::EXPECT_INSTANCE);
     if expected.is_some_and(|id| id.as_bytes() != shared.settings.id.as_bytes()) {
-        return Ok(respond(StatusCode::MISDIRECTED_REQUEST, ""));
+        let mut response = respond(StatusCode::MISDIRECTED_REQUEST, "");
+        echo_request_id(&head.headers, &mut response);
+        return Ok(response);
     }
     let body = read_body(body).await?;
     let run = Run {
@@ -260,6 +262,7 @@
         response
             .headers_mut()
             .insert(headers::NOT_EXECUTED, not_executed);
+        echo_request_id(&head.headers, &mut response);
         shared.add_limit(&mut response, false);
         return Ok(response);
     }
@@ -274,6 +277,13 @@
     response
 }
 
+fn echo_request_id(request: &HeaderMap, response: &mut Response<Full<Bytes>>) {
+    if let Some(id) = request.get(headers::ATTEMPT_ID) {
+        let fields = response.headers_mut();
+        fields.insert(headers::ATTEMPT_ID, id.clone());
+    }
+}
+
 async fn start(shared: &Arc<Shared>, run: Run) -> RunGuard {
     shared.lock().queued += 1;
     let permit = shared.slots.acquire().await;
