Go on following the store beside long values of other writers

Cause: a watch returns all changes since a revision in one body. Above 4 MiB, or if the body took more than 600 ms in all, it failed, and the next one asked for the same. The values were also kept in memory and sent on to followers, whose frames have a limit of 8 MiB.

Evidence: source_lost cause="store: timed out" and "length limit exceeded" at an unchanged revision. Malformed items are ruled out: deep nesting, large numbers, odd ports and bytes are logged and left out.

Change: a response that is too long leads to a listing of the latest state, in pages. Time limits hold for the head and each part of a body. Only keys and values that entries use are kept and sent on.

The stand-in's pages now have the limit of about 1 MB that the store's pages state.

--- a/entry/src/store_client.rs
+++ b/entry/src/store_client.rs
@@ -4,9 +4,10 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{Request, StatusCode};
-use http_body_util::{BodyExt as _, Limited};
+use http_body_util::BodyExt as _;
+use hyper::body::{Body as _, Incoming};
 use lacewingmoor_control::model::Era;
 use lacewingmoor_platform::store;
 use metrics::counter;
@@ -20,9 +21,13 @@
 /// Timeout for opening a connection to the store.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Timeout for a response, in addition to the time that the store may wait before it responds.
+/// Timeout for the head of a response, in addition to the time that the store may wait before it responds,
+/// and for each part of its body.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_millis(600);
 
+/// Timeout for a whole body: several times what the longest one takes at 10 Mbit/s.
+const BODY_TIMEOUT: Duration = Duration::from_secs(4);
+
 /// Maximum length of a response body. A page has at most about 1 MB.
 const BODY_BYTES_MAX: usize = 4 << 20;
 
@@ -36,10 +41,14 @@
             source(cause)
             from()
         }
-        /// The response body is incomplete or too long.
+        /// The response body is incomplete.
         Body(cause: String) {
             display("store: cannot read response body: {cause}")
         }
+        /// The response body is longer than [`BODY_BYTES_MAX`].
+        TooLong {
+            display("store: response body has more than {BODY_BYTES_MAX} bytes")
+        }
         /// The store has another era than the revision that the call refers to.
         OtherEra(era: Era, known: Era) {
             display("store: era {era} instead of {known}")
@@ -105,28 +114,23 @@
             None => Connection::open(self.addr(), CONNECT_TIMEOUT).await?,
         };
         let exchange = async {
-            let response = connection.send(request).await?;
+            let response = tokio::time::timeout(wait + RESPONSE_TIMEOUT, connection.send(request))
+                .await
+                .map_err(|_| connection::Error::Timeout)
+                .flatten()?;
             unknown_fields::report(&self.shared, response.headers(), Origin::Store);
             let status = response.status();
             let era = store::era(response.headers());
-            let body = Limited::new(response.into_body(), BODY_BYTES_MAX)
-                .collect()
+            let body = tokio::time::timeout(BODY_TIMEOUT, read_body(response.into_body()))
                 .await
-                .map_err(|e| Error::Body(e.to_string()))?;
+                .map_err(|_| connection::Error::Timeout)??;
             let era = era.unwrap_or_else(|error| {
                 warn!(self.shared.log, "store_era_unusable"; "cause" => %error);
                 None
             });
-            Ok::<_, Error>(Reply {
-                status,
-                body: body.to_bytes(),
-                era,
-            })
+            Ok::<_, Error>(Reply { status, body, era })
         };
-        let response = tokio::time::timeout(wait + RESPONSE_TIMEOUT, exchange)
-            .await
-            .map_err(|_| Error::Transport(connection::Error::Timeout))
-            .flatten();
+        let response = exchange.await;
         match response {
             Ok(response) => {
                 self.connection = Some(connection);
@@ -139,3 +143,27 @@
         }
     }
 }
+
+/// Reads a response body. Each part may take [`RESPONSE_TIMEOUT`], so that a long body has the time that a
+/// slow link takes for it.
+async fn read_body(mut body: Incoming) -> Result<Bytes, Error> {
+    if body.size_hint().lower() > BODY_BYTES_MAX as u64 {
+        return Err(Error::TooLong);
+    }
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(RESPONSE_TIMEOUT, body.frame()).await;
+        match frame.map_err(|_| connection::Error::Timeout)? {
+            None => return Ok(bytes.freeze()),
+            Some(Err(error)) => return Err(Error::Body(error.to_string())),
+            Some(Ok(frame)) => {
+                if let Ok(data) = frame.into_data() {
+                    bytes.extend_from_slice(&data);
+                }
+            }
+        }
+        if bytes.len() > BODY_BYTES_MAX {
+            return Err(Error::TooLong);
+        }
+    }
+}
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -244,8 +244,11 @@
         };
         let (confirmed_at, update) = match read {
             Ok(read) => read,
+            // A listing comes in pages, the changes of a watch all together.
             Err(
-                cause @ (StoreError::Response(store::Error::Compacted) | StoreError::OtherEra(..)),
+                cause @ (StoreError::Response(store::Error::Compacted)
+                | StoreError::OtherEra(..)
+                | StoreError::TooLong),
             ) => {
                 info!(shared.log, "store_history_gone"; "revision" => %revision, "cause" => %cause);
                 match list(shared, &mut client, ALL_KEYS_PREFIX, Consistency::Latest).await {
@@ -386,7 +389,7 @@
         };
         revision = Some(revision.map_or(page_revision, |r: Revision| r.min(page_revision)));
         after = page.records.last().map(|record| record.key.clone());
-        records.extend(page.records);
+        records.extend(usable(shared, page.records));
         if !page.has_more {
             break;
         }
@@ -407,6 +410,19 @@
     records.iter().map(|r| r.revision).max().unwrap_or_default()
 }
 
+/// Removes from records what no entry uses.
+fn usable(shared: &SharedState, records: Vec<Record>) -> Vec<Record> {
+    let usable = records.into_iter().filter_map(|record| {
+        let length = record.value.as_ref().map_or(0, Vec::len);
+        if length > registry::REGISTRATION_BYTES_MAX && !registry::is_bundle(&record) {
+            let key = record.key.as_str();
+            warn!(shared.log, "store_value_too_long"; "key" => key, "bytes" => length);
+        }
+        registry::without_unused(record)
+    });
+    usable.collect()
+}
+
 /// Waits for changes. Returns the time at which the response arrived, and the changes.
 async fn watch(
     shared: &Rc<SharedState>,
@@ -426,7 +442,7 @@
     let update = Update {
         revision: events.revision,
         is_snapshot: false,
-        records: events.records,
+        records: usable(shared, events.records),
     };
     Ok((shared.now(), update))
 }
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -27,6 +27,9 @@
 /// Maximum number of records on a page of a listing.
 const PAGE_RECORDS_MAX: usize = 50;
 
+/// Maximum length of the keys and values on a page, if it has more than one record.
+const PAGE_BYTES_MAX: usize = 1 << 20;
+
 /// Interval at which expired leases and their keys are removed.
 const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -410,8 +413,15 @@
         .take(PAGE_RECORDS_MAX + 1)
         .cloned()
         .collect();
-    let has_more = records.len() > PAGE_RECORDS_MAX;
-    records.truncate(PAGE_RECORDS_MAX);
+    let mut bytes = 0;
+    let fitting = records.iter().take_while(|record| {
+        let is_first = bytes == 0;
+        bytes += record.key.len() + record.value.as_ref().map_or(0, Vec::len);
+        is_first || bytes <= PAGE_BYTES_MAX
+    });
+    let page_len = fitting.count().min(PAGE_RECORDS_MAX);
+    let has_more = records.len() > page_len;
+    records.truncate(page_len);
     respond(
         StatusCode::OK,
         server::encode_page(&records, has_more, inner.revision),
