Add busy_fleet, a soak of many processes on a busy clock

It checks the answers by the route's timeout, stops, refusals, second runs, versions of the bundle at every entry, and exits.

--- /dev/null
+++ b/standin/examples/busy_fleet/checks.rs
@@ -0,0 +1,200 @@
+//! Checks of what callers and targets observed.
+//!
+//! An entry counts for the checks with a time bound only if it was not killed, starved or started from
+//! [`CONTACT_TIME`] before a request until its end.
+
+use std::collections::HashMap;
+use std::time::{Duration, Instant};
+
+use http::StatusCode;
+use lacewingmoor_standin::caller::RequestResult;
+
+use crate::callers::{Connection, Kind, Observed};
+use crate::{Disturbance, ROUTE_TIMEOUT, Scenario};
+
+/// Time for which an entry must have been undisturbed.
+const CONTACT_TIME: Duration = Duration::from_secs(3);
+
+/// Time after the route's timeout by which a request must have its response.
+const RESPONSE_SLACK: Duration = Duration::from_millis(500);
+
+/// Time after which a version of the bundle must be in force, as in the settings of the entries.
+const APPLY_DEADLINE: Duration = Duration::from_millis(2000);
+
+/// Time after the sending of a request up to which its connection may close without a response, if no
+/// target got it.
+const LOSS_SLACK: Duration = Duration::from_millis(200);
+
+/// Time after SIGTERM for which requests count that a shutdown must not cut off.
+const STOP_ARRIVALS: Duration = Duration::from_secs(3);
+
+/// Late responses above which a seed is broken, if they are more than a quarter of those that were not
+/// there by the timeout.
+const LATE_MAX: usize = 7;
+
+/// Checks all, and returns a summary.
+///
+/// # Errors
+///
+/// Returns what is broken.
+pub fn check(scenario: &Scenario, observed: &[Observed]) -> Result<String, String> {
+    if let Some(failure) = scenario.process_failures.first() {
+        return Err(failure.clone());
+    }
+    let logs = scenario.fleet.entries.iter().map(|entry| entry.log_text());
+    if let Some(log) = logs.into_iter().find(|log| log.contains("panicked")) {
+        let line = log.lines().find(|line| line.contains("panicked"));
+        return Err(line.unwrap_or_default().to_owned());
+    }
+    let runs = count_runs(scenario);
+    check_outcomes(observed, &runs)?;
+    check_stops(scenario, observed, &runs)?;
+    check_added_routes(scenario, observed)?;
+    let timeouts = check_timeouts(scenario, observed)?;
+    Ok(format!(
+        "{} requests, {} versions, {timeouts}",
+        observed.len(),
+        scenario.written_at.len()
+    ))
+}
+
+fn count_runs(scenario: &Scenario) -> HashMap<String, usize> {
+    let mut counts = HashMap::new();
+    for target in &scenario.fleet.targets {
+        for run in target.standin.runs() {
+            *counts.entry(run.request_id).or_default() += 1;
+        }
+    }
+    counts
+}
+
+fn status(observed: &Observed) -> Option<StatusCode> {
+    match &observed.result {
+        RequestResult::Response(response) => Some(response.status),
+        RequestResult::NoResponse | RequestResult::ConnectFailed => None,
+    }
+}
+
+/// Guards against second runs, refusals of requests that ran, and successes that are not valid.
+fn check_outcomes(observed: &[Observed], runs: &HashMap<String, usize>) -> Result<(), String> {
+    for request in observed {
+        let count = runs.get(&request.id).copied().unwrap_or(0);
+        if request.kind == Kind::Write && count > 1 {
+            return Err(format!("{} ran {count} times", request.id));
+        }
+        let RequestResult::Response(response) = &request.result else {
+            continue;
+        };
+        let is_refusal = [408, 421, 429, 503].contains(&response.status.as_u16());
+        if is_refusal && request.kind == Kind::Write && count > 0 {
+            return Err(format!(
+                "{} was refused as not run but ran: {request:?}",
+                request.id
+            ));
+        }
+        let is_valid = response.signed && response.id_matches && response.body_bytes == 2000;
+        if response.status == StatusCode::OK && !is_valid {
+            return Err(format!(
+                "{} got an invalid success: {response:?}",
+                request.id
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Returns true if the entry was undisturbed, apart from stops, from [`CONTACT_TIME`] before `from` until
+/// `to`.
+fn is_undisturbed(scenario: &Scenario, entry: usize, from: Instant, to: Instant) -> bool {
+    let mut disturbed = scenario.disturbed[entry].iter();
+    !disturbed.any(|(disturbance, at)| {
+        *disturbance == Disturbance::Unplanned && *at + CONTACT_TIME >= from && *at <= to
+    })
+}
+
+fn last_stop(scenario: &Scenario, entry: usize, before: Instant) -> Option<Instant> {
+    let stops = scenario.disturbed[entry].iter();
+    let stops =
+        stops.filter(|(disturbance, at)| *disturbance == Disturbance::Stop && *at <= before);
+    stops.map(|(_, at)| *at).max()
+}
+
+/// Guards against requests that a stop cuts off.
+fn check_stops(
+    scenario: &Scenario,
+    observed: &[Observed],
+    runs: &HashMap<String, usize>,
+) -> Result<(), String> {
+    for request in observed {
+        let elapsed = request.ended_at - request.sent_at;
+        let Some(stopped_at) = last_stop(scenario, request.entry, request.ended_at) else {
+            continue;
+        };
+        let is_around_stop = request.sent_at < stopped_at + STOP_ARRIVALS;
+        let reached = runs.contains_key(&request.id);
+        // A request on a kept connection may cross its close.
+        let is_cut = reached || (elapsed > LOSS_SLACK && request.connection == Connection::New);
+        if request.result == RequestResult::NoResponse
+            && is_around_stop
+            && is_cut
+            && elapsed < ROUTE_TIMEOUT
+            && is_undisturbed(scenario, request.entry, request.sent_at, request.ended_at)
+        {
+            let after = request.ended_at - stopped_at;
+            return Err(format!("cut off {after:?} after SIGTERM: {request:?}"));
+        }
+    }
+    Ok(())
+}
+
+/// Guards against versions of the bundle that are not in force in time, or no longer.
+fn check_added_routes(scenario: &Scenario, observed: &[Observed]) -> Result<(), String> {
+    for request in observed {
+        let Kind::Added(version) = request.kind else {
+            continue;
+        };
+        let due_at = scenario.written_at[version - 1] + APPLY_DEADLINE;
+        let is_calm = is_undisturbed(scenario, request.entry, request.sent_at, request.ended_at)
+            && last_stop(scenario, request.entry, request.ended_at)
+                .is_none_or(|at| at + CONTACT_TIME < request.sent_at);
+        if status(request) == Some(StatusCode::NOT_FOUND) && request.sent_at > due_at && is_calm {
+            let late = request.sent_at - due_at;
+            return Err(format!(
+                "version {version} is not in force {late:?} after its deadline: {request:?}"
+            ));
+        }
+    }
+    Ok(())
+}
+
+/// Guards against requests that have no response after the timeout of their route.
+fn check_timeouts(scenario: &Scenario, observed: &[Observed]) -> Result<String, String> {
+    let mut unanswered = 0;
+    let mut late = Vec::new();
+    for request in observed {
+        let elapsed = request.ended_at - request.sent_at;
+        let to = request.sent_at + ROUTE_TIMEOUT + RESPONSE_SLACK;
+        if elapsed < ROUTE_TIMEOUT
+            || request.result == RequestResult::ConnectFailed
+            || !is_undisturbed(scenario, request.entry, request.sent_at, to)
+        {
+            continue;
+        }
+        unanswered += 1;
+        if elapsed > ROUTE_TIMEOUT + RESPONSE_SLACK {
+            late.push(request);
+        }
+    }
+    if late.len() > LATE_MAX && late.len() * 4 > unanswered {
+        return Err(format!(
+            "{} of {unanswered} requests beyond their timeout had no response {RESPONSE_SLACK:?} later, \
+             such as {:?}",
+            late.len(),
+            late[0]
+        ));
+    }
+    Ok(format!(
+        "{unanswered} beyond their timeout, {} of them late",
+        late.len()
+    ))
+}
--- a/standin/examples/demo.rs
+++ b/standin/examples/demo.rs
@@ -2,7 +2,7 @@
 //! zone is taken out of service and returned to service, and an entry is stopped and restarted.
 
 use std::error::Error;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -68,13 +68,9 @@
     Ok(())
 }
 
-/// Returns the path of the entry's binary, in the directory above that of the examples.
+/// Returns the path of the entry's binary.
 fn entry_binary() -> Result<PathBuf, Box<dyn Error>> {
-    let own = std::env::current_exe()?;
-    let dir = own.parent().and_then(Path::parent);
-    let binary = dir
-        .ok_or("the demo is not in a build directory")?
-        .join("lacewingmoord");
+    let binary = Fleet::entry_binary_of_example();
     match binary.exists() {
         true => Ok(binary),
         false => Err("build the workspace first: cargo build --release --workspace".into()),
--- a/standin/examples/soak.rs
+++ b/standin/examples/soak.rs
@@ -435,7 +435,12 @@
 
 impl Soak {
     async fn start(seed: u64, service: ServiceSpec, entry_count: usize) -> std::io::Result<Self> {
-        let mut fleet = Fleet::start(&entry_binary(), std::slice::from_ref(&service), 0).await?;
+        let mut fleet = Fleet::start(
+            &Fleet::entry_binary_of_example(),
+            std::slice::from_ref(&service),
+            0,
+        )
+        .await?;
         let mut relays = Vec::new();
         for i in 0..entry_count {
             let relay = Relay::start(fleet.store.addr()).await?;
@@ -705,11 +710,3 @@
         lines.next()
     }
 }
-
-/// Returns the path of the entry's binary, in the directory above that of the examples.
-fn entry_binary() -> PathBuf {
-    let own = std::env::current_exe().expect("a running program has a path");
-    let dir = own.parent().and_then(Path::parent);
-    dir.expect("examples are built into a directory")
-        .join("lacewingmoord")
-}
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -112,6 +112,19 @@
         Ok(fleet)
     }
 
+    /// Returns the path of the entry's binary for a program among the examples: in the directory above
+    /// theirs.
+    ///
+    /// # Panics
+    ///
+    /// Panics if the program has no path.
+    pub fn entry_binary_of_example() -> PathBuf {
+        let own = std::env::current_exe().expect("a running program has a path");
+        let dir = own.parent().and_then(Path::parent);
+        dir.expect("examples are built into a directory")
+            .join("lacewingmoord")
+    }
+
     /// Starts a target and registers it.
     ///
     /// # Errors
--- a/standin/src/relay.rs
+++ b/standin/src/relay.rs
@@ -5,10 +5,14 @@
 use std::time::Duration;
 
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::watch;
+use tokio::sync::{Mutex, watch};
 use tokio::task::JoinHandle;
 
+/// Size of the chunks in which data is forwarded.
+const CHUNK_BYTES: usize = 16 * 1024;
+
 /// Network fault of a relay.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum NetworkFault {
@@ -21,6 +25,11 @@
     Stall,
     /// Holds back the data from clients until the fault ends; data to clients is forwarded.
     StallFromClient,
+    /// Forwards the first half of each chunk to clients, and holds back the rest until the fault ends.
+    StallMidway,
+    /// Sends the last chunk to a client once more when the client sends more data, before that is
+    /// forwarded.
+    LateCopies,
     /// Drops the sockets of open connections, and those of new ones as soon as they are accepted.
     Reset,
 }
@@ -88,43 +97,91 @@
     let (client_read, client_write) = client.into_split();
     let (upstream_read, upstream_write) = upstream.into_split();
     let mut reset = fault.clone();
+    let client_write = Mutex::new(client_write);
+    let last_chunk = Mutex::new(Vec::new());
+    let to_client = Side {
+        last_chunk: &last_chunk,
+        client: &client_write,
+    };
     // The wait for a reset also ends when the relay is dropped, because that closes the channel.
     tokio::select! {
-        () = copy(client_read, upstream_write, fault.clone(), true) => {}
-        () = copy(upstream_read, client_write, fault.clone(), false) => {}
+        () = copy_from_client(client_read, upstream_write, &to_client, fault.clone()) => {}
+        () = copy_to_client(upstream_read, &to_client, fault.clone()) => {}
         _ = reset.wait_for(|fault| *fault == NetworkFault::Reset) => {}
     }
 }
 
-async fn copy(
-    mut from: tokio::net::tcp::OwnedReadHalf,
-    mut to: tokio::net::tcp::OwnedWriteHalf,
+/// The side of the client, as both directions of a connection use it.
+struct Side<'a> {
+    /// Last data that was sent to the client.
+    last_chunk: &'a Mutex<Vec<u8>>,
+    client: &'a Mutex<OwnedWriteHalf>,
+}
+
+async fn copy_from_client(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    client: &Side<'_>,
     mut fault: watch::Receiver<NetworkFault>,
-    from_client: bool,
 ) {
-    let mut bytes = vec![0; 16 * 1024];
-    loop {
-        let Ok(count) = from.read(&mut bytes).await else {
-            return;
+    let mut bytes = vec![0; CHUNK_BYTES];
+    while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        let is_stalled = |fault: &NetworkFault| {
+            [NetworkFault::Stall, NetworkFault::StallFromClient].contains(fault)
         };
-        if count == 0 {
+        if fault.wait_for(|fault| !is_stalled(fault)).await.is_err() {
             return;
         }
-        let stalled = |fault: &NetworkFault| match fault {
-            NetworkFault::Stall => true,
-            NetworkFault::StallFromClient => from_client,
-            NetworkFault::None | NetworkFault::Delay(_) | NetworkFault::Reset => false,
-        };
-        if fault.wait_for(|fault| !stalled(fault)).await.is_err() {
+        delay(&fault).await;
+        let repeats = *fault.borrow() == NetworkFault::LateCopies;
+        let copy = client.last_chunk.lock().await.clone();
+        if repeats && client.client.lock().await.write_all(&copy).await.is_err() {
             return;
         }
-        let delay = match *fault.borrow() {
-            NetworkFault::Delay(delay) => delay,
-            _ => Duration::ZERO,
-        };
-        tokio::time::sleep(delay).await;
         if to.write_all(&bytes[..count]).await.is_err() {
             return;
         }
     }
 }
+
+async fn copy_to_client(
+    mut from: OwnedReadHalf,
+    client: &Side<'_>,
+    mut fault: watch::Receiver<NetworkFault>,
+) {
+    let mut bytes = vec![0; CHUNK_BYTES];
+    while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        if fault
+            .wait_for(|fault| *fault != NetworkFault::Stall)
+            .await
+            .is_err()
+        {
+            return;
+        }
+        delay(&fault).await;
+        let mut rest = &bytes[..count];
+        if *fault.borrow() == NetworkFault::StallMidway {
+            let (first, second) = rest.split_at(count / 2);
+            if client.client.lock().await.write_all(first).await.is_err()
+                || fault
+                    .wait_for(|fault| *fault != NetworkFault::StallMidway)
+                    .await
+                    .is_err()
+            {
+                return;
+            }
+            rest = second;
+        }
+        if client.client.lock().await.write_all(rest).await.is_err() {
+            return;
+        }
+        *client.last_chunk.lock().await = bytes[..count].to_vec();
+    }
+}
+
+async fn delay(fault: &watch::Receiver<NetworkFault>) {
+    let fault = *fault.borrow();
+    if let NetworkFault::Delay(delay) = fault {
+        tokio::time::sleep(delay).await;
+    }
+}
--- a/standin/src/store.rs
+++ b/standin/src/store.rs
@@ -94,6 +94,7 @@
 pub struct StoreStandin {
     server: Server,
     shared: Arc<Shared>,
+    bundle_version: watch::Sender<u64>,
 }
 
 impl StoreStandin {
@@ -121,7 +122,11 @@
                 tokio::time::sleep(LEASE_CHECK_INTERVAL).await;
             }
         });
-        Ok(Self { server, shared })
+        Ok(Self {
+            server,
+            shared,
+            bundle_version: watch::Sender::new(0),
+        })
     }
 
     /// Returns the bound address.
@@ -176,6 +181,12 @@
     /// Writes the configuration bundle.
     pub fn put_bundle(&self, bundle: &RawBundle) {
         self.put(CONFIG_KEY, config::encode(bundle));
+        self.bundle_version.send_replace(bundle.version);
+    }
+
+    /// Returns a receiver of the version of the bundle that was written last.
+    pub fn bundle_version_receiver(&self) -> watch::Receiver<u64> {
+        self.bundle_version.subscribe()
     }
 
     /// Writes the registration of a target.
