Show that targets that leave, or want no requests, get them

Two new rules: a target that says in its responses that it leaves (DRAIN), and one that names with a 503 when to come back (BUDGET).

--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -6,6 +6,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use http::header::RETRY_AFTER;
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -68,6 +69,15 @@
     pub arrived_at: Instant,
 }
 
+/// A request that reached a target, whether it ran or not.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Arrival {
+    /// Request id.
+    pub request_id: String,
+    /// Time at which the request arrived.
+    pub at: Instant,
+}
+
 /// Responses in which a target names its limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum LimitScope {
@@ -83,6 +93,9 @@
     healthy: bool,
     load_reports_stopped: bool,
     limit: Option<(HeaderValue, LimitScope)>,
+    leaving: bool,
+    retry_after: Vec<HeaderValue>,
+    arrivals: Vec<Arrival>,
     running: u32,
     queued: u32,
     max_running: u32,
@@ -157,6 +170,27 @@
         self.shared.lock().limit = limit;
     }
 
+    /// Sets whether all responses from now on say that the target leaves.
+    pub fn set_leaving(&self, leaving: bool) {
+        self.shared.lock().leaving = leaving;
+    }
+
+    /// Makes the target reject requests from now on and name when to come back, in one field for each
+    /// text; none ends it.
+    ///
+    /// # Panics
+    ///
+    /// Panics if a text is not valid in a header field.
+    pub fn set_retry_after(&self, texts: &[&str]) {
+        let value = |text: &&str| HeaderValue::from_str(text).expect("valid in a header field");
+        self.shared.lock().retry_after = texts.iter().map(value).collect();
+    }
+
+    /// Returns the requests that reached the target, in that order.
+    pub fn arrivals(&self) -> Vec<Arrival> {
+        self.shared.lock().arrivals.clone()
+    }
+
     /// Returns the requests that the target started to run, in that order.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
@@ -236,8 +270,17 @@
 }
 
 async fn handle(shared: Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
+    let mut response = respond_to(&shared, request).await?;
+    if shared.lock().leaving {
+        let fields = response.headers_mut();
+        fields.insert(headers::SERVER_LEAVING, HeaderValue::from_static("1"));
+    }
+    Ok(response)
+}
+
+async fn respond_to(shared: &Arc<Shared>, request: Request<Incoming>) -> HandlerResult {
     if request.uri().path() == HEALTH_PATH {
-        return Ok(health(&shared));
+        return Ok(health(shared));
     }
     let (head, body) = request.into_parts();
     let expected = head.headers.get(headers::EXPECT_INSTANCE);
@@ -255,24 +298,34 @@
         body,
         arrived_at: Instant::now(),
     };
-    let fault = shared.lock().fault;
-    if fault == TargetFault::Reject {
+    let (fault, retry_after) = {
+        let mut inner = shared.lock();
+        inner.arrivals.push(Arrival {
+            request_id: run.request_id.clone(),
+            at: run.arrived_at,
+        });
+        (inner.fault, inner.retry_after.clone())
+    };
+    if fault == TargetFault::Reject || !retry_after.is_empty() {
         let mut response = respond(StatusCode::SERVICE_UNAVAILABLE, "");
         let not_executed = HeaderValue::from_static("1");
         response
             .headers_mut()
             .insert(headers::NOT_EXECUTED, not_executed);
+        for value in retry_after {
+            response.headers_mut().append(RETRY_AFTER, value);
+        }
         echo_request_id(&head.headers, &mut response);
         shared.add_limit(&mut response, false);
         return Ok(response);
     }
     let request_id = run.request_id.clone();
-    let mut running = start(&shared, run).await;
+    let mut running = start(shared, run).await;
     if fault == TargetFault::Hang {
         std::future::pending::<()>().await;
     }
     tokio::time::sleep(shared.settings.service_time).await;
-    let response = finish(&shared, fault, &request_id);
+    let response = finish(shared, fault, &request_id);
     running.finished = true;
     response
 }
