Heed targets that leave, and targets that name when to come back

New rules: a target that has said in a response that it leaves gets no request of that entry after the drain period (DRAIN); one that names Retry-After with a 503 gets at most two before that time is over (BUDGET). Entries read neither field.

Change: control/notice.rs keeps what a target has said, by the start of its process, in its statistics, which now outlive its registration while a notice holds. control/availability.rs is the one place that says whether a request may be sent to a target and why not; selection, queue, reservation, retries, hedges and probes ask it. A request that no target can serve before its deadline is refused at once, with the time at which the first comes back. The request line of a refused request names the targets left out and why; status counts them.

Ruled out: telling other entries (docs/choices/placement.md); the time of day to tell two processes of a target apart (clocks may step), so the registration's start decides; a response of the earlier process replaces no notice of the later one.

--- a/cli/src/cmd/status.rs
+++ b/cli/src/cmd/status.rs
@@ -128,10 +128,11 @@
             )?;
             for service in status["services"].as_array().into_iter().flatten() {
                 // `in_zones_out`: targets in zones out of service; `cold`: targets that are warming
-                // up; `avoided`: ejected targets; `limited`: targets that name a limit.
+                // up; `avoided`: ejected targets; `limited`: targets that name a limit;
+                // `leaving`, `declining`: targets that said so in a response.
                 writeln!(
                     f,
-                    "  {} targets={} draining={} in_zones_out={} cold={} avoided={} limited={} waiting={}",
+                    "  {} targets={} draining={} in_zones_out={} cold={} avoided={} limited={} leaving={} declining={} waiting={}",
                     service["name"].as_str().unwrap_or("-"),
                     service["targets"],
                     service["draining"],
@@ -139,6 +140,8 @@
                     service["cold"],
                     service["avoided"],
                     service["limited"],
+                    service["leaving"],
+                    service["declining"],
                     service["waiting_requests"],
                 )?;
             }
--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -67,6 +67,16 @@
     pub on_time: Vec<Timestamp>,
     /// Of a late request.
     pub late: Vec<Timestamp>,
+    /// When the first of the targets comes back that decline requests for longer.
+    pub returns_at: Option<Timestamp>,
+}
+
+impl SendTimes {
+    /// Records when a target comes back that declines requests until then.
+    pub fn record_return(&mut self, at: Timestamp) {
+        let earliest = self.returns_at.map_or(at, |earliest| earliest.min(at));
+        self.returns_at = Some(earliest);
+    }
 }
 
 /// Position of a request among the queued requests of its service.
@@ -167,7 +177,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the time after which the caller may retry: soon if other entries have all sends.
+    /// Returns the time after which the caller may retry: soon if other entries have all sends, when the
+    /// first target comes back if all decline requests for longer than the request can wait.
     pub fn check_send_times(
         &self,
         now: Timestamp,
@@ -193,10 +204,14 @@
         if is_served {
             return Ok(());
         }
-        Err(match send_times.on_time.is_empty() {
-            true => REJECTED_RETRY_AFTER,
-            false => retry_after(now, caller_deadline),
-        })
+        Err(
+            match (send_times.on_time.is_empty(), send_times.returns_at) {
+                // Callers with less time left come back first.
+                (true, Some(at)) => at.saturating_sub(now) + retry_after(now, caller_deadline),
+                (true, None) => REJECTED_RETRY_AFTER,
+                (false, _) => retry_after(now, caller_deadline),
+            },
+        )
     }
 
     /// Returns true if the request may be sent to the target of the estimate.
--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -9,9 +9,11 @@
 
 pub mod admission;
 pub mod attempt;
+pub mod availability;
 pub mod budget;
 pub mod membership;
 pub mod model;
+pub mod notice;
 pub mod rate_limit;
 pub mod rendezvous;
 pub mod replica;
--- a/control/src/selection.rs
+++ b/control/src/selection.rs
@@ -15,6 +15,7 @@
 use rand::seq::SliceRandom as _;
 
 use crate::admission::SendTimes;
+use crate::availability::{Exclusion, Use};
 use crate::model::{EntryName, RegionName, Target, TargetId, ZoneName};
 use crate::rendezvous::rendezvous_key;
 use crate::sharing;
@@ -109,7 +110,7 @@
 }
 
 impl Selector<'_> {
-    /// Returns up to `count` targets to probe, in random order. Ejected targets are returned only
+    /// Returns up to `count` targets to probe, in random order. Targets of last resort are returned only
     /// if there are no others.
     pub fn select(
         &self,
@@ -121,22 +122,19 @@
         rng: &mut impl Rng,
     ) -> Vec<TargetId> {
         let mut available = Vec::new();
-        let mut ejected = Vec::new();
+        let mut last_resort = Vec::new();
         for id in view.service_targets(self.service) {
             let Some(registered) = view.target(id) else {
                 continue;
             };
-            let stats = target_stats.get(id);
-            if !self.is_eligible(now, view, registered, stats) {
-                continue;
-            }
-            match stats {
-                Some(stats) if stats.is_ejected(now) => ejected.push(registered),
-                _ => available.push(registered),
+            match self.check(now, view, registered, target_stats.get(id)) {
+                Ok(Use::Normal) => available.push(registered),
+                Ok(Use::LastResort) => last_resort.push(registered),
+                Err(_) => {}
             }
         }
         let mut pool = if available.is_empty() {
-            ejected
+            last_resort
         } else {
             available
         };
@@ -169,52 +167,56 @@
         registered: &RegisteredTarget,
         stats: Option<&TargetStats>,
     ) -> bool {
-        let target = &registered.target;
-        if !self.is_admissible(view, target) {
-            return false;
-        }
-        let next_send_at = stats.map(|stats| self.next_send_at(view, target, stats));
-        if next_send_at.is_some_and(|at| at.is_none_or(|at| now < at)) {
-            return false;
-        }
-        match stats {
-            Some(stats) if stats.is_warming_up(now) => {
-                self.is_warmup_sender(view, target)
-                    && stats
-                        .warmup_limiter
-                        .allows(now, self.entry_warmup_rate_per_s(view))
-            }
-            _ => true,
-        }
+        self.check(now, view, registered, stats).is_ok()
     }
 
-    /// Returns true if the request may be sent to the target, apart from limits on its rate.
-    fn is_admissible(&self, view: &View, target: &Target) -> bool {
-        !target.draining
-            && !view.is_zone_out_of_service(&target.zone)
-            && self.route.allows(&target.region)
-            && !self.excluded.contains(&target.id)
+    /// Returns true if this entry may send to the target, which is warming up.
+    pub fn may_warm_up(
+        &self,
+        now: Timestamp,
+        view: &View,
+        target: &Target,
+        stats: &TargetStats,
+    ) -> bool {
+        let rate_per_s = self.entry_warmup_rate_per_s(view);
+        self.is_warmup_sender(view, target) && stats.warmup_limiter.allows(now, rate_per_s)
     }
 
-    /// Returns the times until `until` at which the limits that targets name allow this entry another
-    /// send. `None` if a target that the request may be sent to names no limit.
+    /// Returns the times until `until` at which the limits that targets name, or the times for which they
+    /// decline requests, allow this entry another send. `None` if a target may be sent to without such a
+    /// bound.
     pub fn limited_send_times(
         &self,
+        now: Timestamp,
         view: &View,
         target_stats: &Map<TargetId, TargetStats>,
         until: Timestamp,
     ) -> Option<SendTimes> {
         let ids = view.service_targets(self.service).iter();
-        let targets = ids.filter_map(|id| view.target(id).map(|registered| &registered.target));
         let mut times = SendTimes::default();
-        for target in targets.filter(|target| self.is_admissible(view, target)) {
+        for registered in ids.filter_map(|id| view.target(id)) {
+            let target = &registered.target;
             let stats = target_stats.get(&target.id);
+            let returns_at = match self.check(now, view, registered, stats) {
+                Err(exclusion) if exclusion.is_lasting() => continue,
+                Err(Exclusion::Declined { until, .. }) => until,
+                Ok(_) | Err(_) => now,
+            };
+            if returns_at > until {
+                times.record_return(returns_at);
+                continue;
+            }
             let stats = stats.filter(|stats| stats.limit.get().is_some())?;
             let Some(share) = self.share(view, target, stats) else {
                 continue;
             };
-            times.on_time.extend(share.sends(share.next_send_at, until));
-            times.late.extend(share.sends(share.late_from(), until));
+            let from = |at: Timestamp| at.max(returns_at);
+            times
+                .on_time
+                .extend(share.sends(from(share.next_send_at), until));
+            times
+                .late
+                .extend(share.sends(from(share.late_from()), until));
         }
         times.on_time.sort();
         times.late.sort();
@@ -294,7 +296,10 @@
             is_due
                 && view.target(id).is_some_and(|registered| {
                     registered.target.region == self.locality.region
-                        && !self.is_eligible(now, view, registered, stats)
+                        && matches!(
+                            self.check(now, view, registered, stats),
+                            Err(Exclusion::Limited | Exclusion::WarmingUp)
+                        )
                 })
         };
         let ids = view.service_targets(self.service).iter();
--- a/control/src/stats.rs
+++ b/control/src/stats.rs
@@ -7,6 +7,7 @@
 
 use crate::Timestamp;
 use crate::budget::WarmupLimiter;
+use crate::notice::TargetNotices;
 use crate::rate_limit::KnownLimit;
 use crate::selection::{SLOWDOWN_THRESHOLD, TargetHealth};
 
@@ -63,6 +64,8 @@
     pub warmup_limiter: WarmupLimiter,
     /// Limit on the rate of requests that the target names.
     pub limit: KnownLimit,
+    /// What the target has said of itself in its responses.
+    pub notices: TargetNotices,
     /// Time of the last send of this entry; zero before the first one.
     last_send_at: Timestamp,
     /// Recent sends of this entry, oldest first.
@@ -78,6 +81,18 @@
 }
 
 impl TargetStats {
+    /// Forgets all but what has to be kept of a target that is not registered. Returns false if nothing
+    /// is left.
+    pub fn reduce_to_kept(&mut self, now: Timestamp) -> bool {
+        let is_kept = self.in_flight > 0 || self.notices.is_kept(now);
+        *self = Self {
+            in_flight: self.in_flight,
+            notices: std::mem::take(&mut self.notices),
+            ..Self::default()
+        };
+        is_kept
+    }
+
     /// Records a load report.
     pub fn record_report(&mut self, now: Timestamp, load: LoadReport) {
         self.last_report = Some((load, now));
--- a/control/tests/admission.rs
+++ b/control/tests/admission.rs
@@ -159,6 +159,7 @@
     let send_times = SendTimes {
         on_time: times.clone().map(|at| ms(*at)).collect(),
         late: times.map(|at| ms(at + 100)).collect(),
+        returns_at: None,
     };
     let position = QueuePosition {
         ahead: case.ahead,
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -20,6 +20,7 @@
 use crate::response::{ResponseBody, remove_hop_by_hop};
 use crate::shared_state::SharedState;
 use crate::target_limit;
+use crate::target_notice;
 use crate::target_search::{self, Candidate};
 
 /// Response bytes that are buffered before the head is forwarded. A response that breaks off within
@@ -189,7 +190,12 @@
             }
             Err(_) => false,
         };
-        shared.with_target_stats(id, |stats| stats.record_result(now, success));
+        shared.with_target_stats(id, |stats| {
+            stats.record_result(now, success);
+            if success {
+                stats.notices.record_success(now);
+            }
+        });
     }
 
     async fn receive(
@@ -202,6 +208,9 @@
         let (mut head, mut body) = response.into_parts();
         let headers = &head.headers;
         let dialect = shared.settings.dialect;
+        if head.status != StatusCode::MISDIRECTED_REQUEST {
+            target_notice::record_leaving(shared, target, headers);
+        }
         let other_request = dialect
             .request_id(headers)
             .is_some_and(|id| self.request_id.is_some_and(|sent| sent != id));
@@ -213,6 +222,7 @@
         }
         if head.status != StatusCode::MISDIRECTED_REQUEST {
             target_limit::record(shared, &target.id, headers, ResponseKind::Request);
+            target_notice::record_rejection(shared, target, head.status, headers);
         }
         if dialect.is_not_run(head.status, headers) {
             return Err(self.refused(shared, &head, body, connection));
--- a/entry/src/dialect.rs
+++ b/entry/src/dialect.rs
@@ -20,6 +20,8 @@
 const LOAD_REPORT: HeaderName = HeaderName::from_static("load-report");
 /// Requests per second that a target takes from all entries together.
 const REQUEST_LIMIT: HeaderName = HeaderName::from_static("request-limit-per-s");
+/// Set to `true` by a target that is about to exit.
+const LEAVING: HeaderName = HeaderName::from_static("target-leaving");
 /// Set on responses that the entry generates itself: `not-run`, or `unknown` if a target may have
 /// run the request.
 const OUTCOME: HeaderName = HeaderName::from_static("lacewingmoor-outcome");
@@ -151,10 +153,18 @@
         }
     }
 
+    /// Returns true if the target states that it is about to exit.
+    pub fn is_leaving(&self, headers: &HeaderMap) -> bool {
+        match self {
+            Self::Native => headers.get(LEAVING).is_some_and(|value| value == "true"),
+            Self::Platform => headers::is_leaving(headers),
+        }
+    }
+
     /// Returns true if the field is one of HTTP that targets and the store commonly send, or one of
     /// the dialect.
     pub fn is_known(&self, name: &HeaderName) -> bool {
-        static NATIVE: [HeaderName; 3] = [NOT_RUN, LOAD_REPORT, REQUEST_LIMIT];
+        static NATIVE: [HeaderName; 4] = [NOT_RUN, LOAD_REPORT, REQUEST_LIMIT, LEAVING];
         HTTP_FIELDS.contains(name)
             || match self {
                 Self::Native => NATIVE.contains(name),
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod status;
 pub mod store_client;
 pub mod target_limit;
+pub mod target_notice;
 pub mod target_search;
 pub mod unknown_fields;
 pub mod view_sync;
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -19,6 +19,7 @@
 use crate::connection::Connection;
 use crate::shared_state::SharedState;
 use crate::target_limit;
+use crate::target_notice;
 
 /// Time after which a target that does not respond to a probe counts as unreachable.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
@@ -164,6 +165,10 @@
         return Err(ProbeError::Misdirected);
     }
     target_limit::record(shared, &target.id, &head.headers, ResponseKind::Probe);
+    target_notice::record_leaving(shared, target, &head.headers);
+    if dialect.is_not_run(head.status, &head.headers) {
+        target_notice::record_rejection(shared, target, head.status, &head.headers);
+    }
     let load = dialect.load(&head.headers, target.slots);
     let now = shared.now();
     shared.with_target_stats(&target.id, |stats| {
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -233,7 +233,8 @@
         }
         let is_registered = |id: &str| view.target(id).is_some();
         let mut target_stats = shared.target_stats.borrow_mut();
-        target_stats.retain(|id, stats| is_registered(id) || stats.in_flight > 0);
+        let now = shared.now();
+        target_stats.retain(|id, stats| is_registered(id) || stats.reduce_to_kept(now));
     }
 }
 
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -256,7 +256,7 @@
         let until = pending.queue_deadline(service_time);
         search
             .selector(shared)
-            .limited_send_times(&view, &target_stats, until)
+            .limited_send_times(now, &view, &target_stats, until)
     };
     let Some(send_times) = send_times else {
         return Ok(());
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -84,6 +84,7 @@
         rounds: 0,
         route: None,
         last_failure: String::new(),
+        left_out: String::new(),
         last_send: None,
     };
     let end = match context.run(&head, body).await {
@@ -126,6 +127,8 @@
     rounds: u32,
     route: Option<(Rc<Bundle>, usize)>,
     last_failure: String,
+    /// Targets that a request that found none could not use, for the log.
+    left_out: String,
     last_send: Option<LastSend>,
 }
 
@@ -325,6 +328,9 @@
         loop {
             let candidate = search.find(self.shared).await;
             self.rounds = search.rounds;
+            if candidate.is_err() {
+                self.left_out = search.left_out(self.shared);
+            }
             let candidate = match candidate {
                 Ok(candidate) => candidate,
                 Err(_) if self.attempts.may_have_run() => {
@@ -513,7 +519,7 @@
             "pace" => load.map_or(0.0, |load| load.slowdown),
             "sent_ms" => sent.map_or(0, |s| s.at.saturating_sub(self.arrived_at).as_millis() as u64),
             "expected_ms" => sent.map_or(0, |sent| sent.estimate.expected_latency.as_millis() as u64),
-            "last_failure" => &self.last_failure, "ms" => elapsed.as_millis() as u64,
+            "last_failure" => &self.last_failure, "left_out" => &self.left_out, "ms" => elapsed.as_millis() as u64,
         );
     }
 }
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -31,6 +31,12 @@
                 "limited": count(&|id| {
                     target_stats.get(id).is_some_and(|s| s.limit.get().is_some())
                 }),
+                "leaving": count(&|id| {
+                    target_stats.get(id).is_some_and(|s| s.notices.is_leaving())
+                }),
+                "declining": count(&|id| {
+                    target_stats.get(id).is_some_and(|s| s.notices.is_declining(now))
+                }),
                 "waiting_requests": shared.queue.len(&service.name),
             })
         })
--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -41,6 +41,9 @@
 /// are added to it.
 const REPORT_AGE_MAX: Duration = Duration::from_secs(1);
 
+/// Targets that the log line of a refused request names.
+const LEFT_OUT_MAX: usize = 6;
+
 /// A target that a request may be sent to, with a connection to it.
 pub struct Candidate {
     /// The target.
@@ -164,6 +167,17 @@
         }
     }
 
+    /// Names some of the targets that the request must not be sent to now, with the reasons, for the log.
+    pub fn left_out(&self, shared: &SharedState) -> String {
+        let view = shared.view.borrow();
+        let target_stats = shared.target_stats.borrow();
+        let exclusions =
+            self.selector(shared)
+                .exclusions(shared.now(), &view, &target_stats, LEFT_OUT_MAX);
+        let texts = exclusions.iter().map(|(id, why)| format!("{id}: {why}"));
+        texts.collect::<Vec<_>>().join("; ")
+    }
+
     fn prober<'b>(&'b self, shared: &'b Rc<SharedState>) -> TargetProber<'b> {
         TargetProber {
             shared,
@@ -517,11 +531,11 @@
         running: load.running.saturating_sub(1),
         ..load
     };
-    let health = shared.with_target_stats(&target.id, |stats| {
+    let (health, is_leaving) = shared.with_target_stats(&target.id, |stats| {
         stats.record_report(now, load);
-        stats.health(now)
+        (stats.health(now), stats.notices.is_leaving())
     });
-    if shared.queue.is_empty(service) {
+    if shared.queue.is_empty(service) || is_leaving {
         return shared.pool.put(connection);
     }
     let service_time = {
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -515,8 +515,8 @@
     }
 }
 
-/// Sets the warm-up in a target's statistics from its registration, or drops the statistics if the
-/// target is no longer registered.
+/// Sets the warm-up in a target's statistics from its registration, or drops what need not be kept of
+/// them if the target is no longer registered.
 fn update_target_stats(shared: &SharedState, id: &Rc<str>) {
     let view = shared.view.borrow();
     match view.target(id) {
@@ -526,7 +526,13 @@
             shared.with_target_stats(id, |stats| stats.set_warmup(now, remaining));
         }
         None => {
-            shared.target_stats.borrow_mut().remove(id);
+            let now = shared.now();
+            let mut target_stats = shared.target_stats.borrow_mut();
+            if let Some(stats) = target_stats.get_mut(id)
+                && !stats.reduce_to_kept(now)
+            {
+                target_stats.remove(id);
+            }
         }
     }
 }
--- a/entry/tests/target_notices.rs
+++ b/entry/tests/target_notices.rs
@@ -67,6 +67,17 @@
     .await;
 }
 
+/// Sends requests until a response to one of them, or to a probe, has told the entry that the first target
+/// leaves.
+async fn learn_of_leaving(fleet: &Fleet) {
+    until("the entry knows", async || {
+        send(fleet, "first", 1).await;
+        let log = fleet.entries[0].log_text();
+        log.contains("event=target_leaving target=t-0") || arrivals(fleet, 0, "first") > 0
+    })
+    .await;
+}
+
 /// What the store says of the target afterwards.
 #[derive(Clone, Copy)]
 enum Registration {
@@ -83,7 +94,7 @@
 async fn target_that_said_that_it_leaves_gets_no_request(#[case] then: Registration) {
     let fleet = fleet_with(2).await;
     fleet.targets[0].standin.set_leaving(true);
-    reach_first(&fleet, "first").await;
+    learn_of_leaving(&fleet).await;
     let registration = &fleet.targets[0].registration;
     if matches!(then, Registration::RemovedAndWrittenAgain) {
         fleet.store.remove_target(&registration.id);
@@ -109,7 +120,7 @@
 async fn target_that_starts_again_under_its_id_is_used_again() {
     let fleet = fleet_with(2).await;
     fleet.targets[0].standin.set_leaving(true);
-    reach_first(&fleet, "first").await;
+    learn_of_leaving(&fleet).await;
     fleet.targets[0].standin.set_leaving(false);
     let mut restarted = fleet.targets[0].registration.clone();
     restarted.started_unix_ms = restarted.started_unix_ms.map(|at| at + 1000);
@@ -244,11 +255,12 @@
     let statuses = send(&fleet, "later", 5).await;
     assert!(statuses.iter().all(|status| *status == 200), "{statuses:?}");
     assert!(!fleet.entries[0].has_exited());
-    let log = fleet.entries[0].log_text();
-    assert!(!log.contains("panicked"));
-    assert!(
+    assert!(!fleet.entries[0].log_text().contains("panicked"));
+    until("a log line tells", async || {
+        let log = fleet.entries[0].log_text();
         log.contains("event=target_declined") || log.contains("event=target_retry_after_unusable")
-    );
+    })
+    .await;
     if texts != ["1e308"] {
         reach_first(&fleet, "again").await;
     }
--- a/standin/examples/busy_fleet/checks.rs
+++ b/standin/examples/busy_fleet/checks.rs
@@ -10,7 +10,7 @@
 use lacewingmoor_standin::caller::RequestResult;
 
 use crate::callers::{Connection, Kind, Observed};
-use crate::{Disturbance, ROUTE_TIMEOUT, Scenario};
+use crate::{Disturbance, RETRY_AFTER, ROUTE_TIMEOUT, Scenario};
 
 /// Time for which an entry must have been undisturbed.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -28,6 +28,15 @@
 /// Time after SIGTERM for which requests count that a shutdown must not cut off.
 const STOP_ARRIVALS: Duration = Duration::from_secs(3);
 
+/// Time after a response which says that a target leaves from which on it must get no request.
+const DRAIN_PERIOD: Duration = Duration::from_secs(2);
+
+/// Time after a rejection that names when to come back from which on it holds.
+const DECLINE_SLACK: Duration = Duration::from_millis(500);
+
+/// Requests of an entry that may reach a target while it wants none.
+const DECLINED_MAX: usize = 2;
+
 /// Late responses above which a seed is broken, if they are more than a quarter of those that were not
 /// there by the timeout.
 const LATE_MAX: usize = 7;
@@ -50,6 +59,7 @@
     check_outcomes(observed, &runs)?;
     check_stops(scenario, observed, &runs)?;
     check_added_routes(scenario, observed)?;
+    check_notices(scenario, observed)?;
     let timeouts = check_timeouts(scenario, observed)?;
     Ok(format!(
         "{} requests, {} versions, {timeouts}",
@@ -167,6 +177,76 @@
     Ok(())
 }
 
+/// Guards against requests to targets that told the entry that they leave, or that they want none for a
+/// while.
+fn check_notices(scenario: &Scenario, observed: &[Observed]) -> Result<(), String> {
+    let by_id: HashMap<&str, &Observed> = observed.iter().map(|o| (o.id.as_str(), o)).collect();
+    for (i, target) in scenario.fleet.targets.iter().enumerate() {
+        let mut told_leaving: HashMap<usize, Instant> = HashMap::new();
+        let mut told_declined: HashMap<usize, (Instant, usize)> = HashMap::new();
+        for arrival in target.standin.arrivals() {
+            let Some(request) = by_id.get(arrival.request_id.as_str()) else {
+                continue;
+            };
+            let entry = request.entry;
+            let mut faults = scenario.relay_faults[i].iter();
+            let is_harmed = faults.any(|(from, to)| {
+                *from <= arrival.at && to.is_none_or(|to| to + CONTACT_TIME >= arrival.at)
+            });
+            let mut restarts = scenario.target_restarts[i].iter();
+            let has_just_restarted =
+                restarts.any(|at| *at <= arrival.at && *at + CONTACT_TIME >= request.sent_at);
+            // A response may not have arrived, or may be that of the process before.
+            if is_harmed || has_just_restarted {
+                continue;
+            }
+            let is_same_process = |since: Instant| {
+                let mut restarts = scenario.target_restarts[i].iter();
+                let mut disturbed = scenario.disturbed[entry].iter();
+                !restarts.any(|at| *at >= since && *at <= arrival.at)
+                    && !disturbed.any(|(what, at)| {
+                        *what == Disturbance::Unplanned && *at >= since && *at <= arrival.at
+                    })
+            };
+            if let Some(at) = told_leaving.get(&entry).copied()
+                && request.sent_at > at + DRAIN_PERIOD
+                && is_same_process(at)
+            {
+                return Err(format!(
+                    "{} got {request:?} after it left",
+                    target.registration.id
+                ));
+            }
+            if let Some((at, count)) = told_declined.get_mut(&entry)
+                && (*at + DECLINE_SLACK..*at + RETRY_AFTER).contains(&arrival.at)
+                && is_same_process(*at)
+            {
+                *count += 1;
+                if *count > DECLINED_MAX {
+                    return Err(format!(
+                        "{} got {request:?} too early",
+                        target.registration.id
+                    ));
+                }
+            }
+            let was_passed_on = status(request) == Some(StatusCode::OK);
+            if arrival.leaving && was_passed_on {
+                let told_at = told_leaving.entry(entry).or_insert(request.ended_at);
+                if !is_same_process(*told_at) {
+                    *told_at = request.ended_at;
+                }
+            }
+            if arrival.declined {
+                let told = told_declined.entry(entry).or_insert((arrival.at, 0));
+                if arrival.at > told.0 + RETRY_AFTER || !is_same_process(told.0) {
+                    *told = (arrival.at, 0);
+                }
+            }
+        }
+    }
+    Ok(())
+}
+
 /// Guards against requests that have no response after the timeout of their route.
 fn check_timeouts(scenario: &Scenario, observed: &[Observed]) -> Result<String, String> {
     let mut unanswered = 0;
--- a/standin/examples/busy_fleet/main.rs
+++ b/standin/examples/busy_fleet/main.rs
@@ -5,7 +5,7 @@
 //! Relays between entries and targets delay, stall, cut in the middle of a response, reset, or write an
 //! earlier response once more. Entries are stopped by SIGTERM in overlapping series, reloaded, killed,
 //! restarted, and starved of processor time by short pauses. New bundles with further routes are written
-//! all the while. Callers wait for longer than the timeout of the routes, and half of them keep their
+//! all the while. Targets say that they leave, or for how long they want no requests. Callers wait for longer than the timeout of the routes, and half of them keep their
 //! connections for as long as these stay open.
 //!
 //! Checks for each seed, from what callers and targets observed, see `checks.rs`. Exits with 1 if one fails,
@@ -35,6 +35,12 @@
 /// Time after the grace period by which a process that was stopped must have been reaped.
 const REAP_SLACK: Duration = Duration::from_secs(2);
 
+/// Time after which targets that decline requests want them again, as they write it.
+const RETRY_AFTER_TEXT: &str = "1.5";
+
+/// The same as a time.
+pub const RETRY_AFTER: Duration = Duration::from_millis(1500);
+
 /// Interval at which entries that are starved are paused or resumed.
 const STARVE_TICK: Duration = Duration::from_millis(20);
 
@@ -116,6 +122,7 @@
     let ends_at = Instant::now() + Duration::from_secs(args.seconds);
     while Instant::now() < ends_at {
         scenario.step();
+        scenario.change_notices();
         let pause = scenario.rng.random_range(50..500);
         scenario.run_for(Duration::from_millis(pause)).await;
     }
@@ -153,6 +160,14 @@
     pub process_failures: Vec<String>,
     relays: Vec<Relay>,
     rng: StdRng,
+    /// Draws what targets say of themselves. The draws of `rng`, and so the faults of a seed, do not depend on
+    /// it.
+    notice_rng: StdRng,
+    /// When each target, in the order of the fleet, registered as another process. Its stand-in goes on
+    /// running.
+    pub target_restarts: Vec<Vec<Instant>>,
+    /// When the relay of each target got its last fault, and when that ended, for each of its faults.
+    pub relay_faults: Vec<Vec<(Instant, Option<Instant>)>>,
     service: ServiceSpec,
     /// Until when each entry is starved.
     starved_until: Vec<Option<Instant>>,
@@ -187,13 +202,17 @@
         }
         fleet.wait_ready(Duration::from_secs(60)).await?;
         let now = Instant::now();
+        let target_restarts = vec![Vec::new(); relays.len()];
         Ok(Self {
             fleet,
             disturbed: vec![Vec::new(); entry_count],
             written_at: vec![now],
             process_failures: Vec::new(),
+            relay_faults: vec![Vec::new(); relays.len()],
             relays,
             rng: StdRng::seed_from_u64(seed),
+            notice_rng: StdRng::seed_from_u64(!seed),
+            target_restarts,
             service,
             starved_until: vec![None; entry_count],
             stopping: vec![None; entry_count],
@@ -218,12 +237,10 @@
                 for _ in 0..self.rng.random_range(1..=self.relays.len() / 2) {
                     let relay = self.rng.random_range(0..self.relays.len());
                     self.relays[relay].set_fault(fault);
+                    self.relay_faults[relay].push((Instant::now(), None));
                 }
             }
-            4 => self
-                .relays
-                .iter()
-                .for_each(|relay| relay.set_fault(NetworkFault::None)),
+            4 => self.end_relay_faults(),
             // A series of stops, which overlaps with earlier ones.
             5 => {
                 for _ in 0..self.rng.random_range(1..4) {
@@ -250,6 +267,32 @@
         }
     }
 
+    /// Makes a target say that it leaves, or that it wants no requests for a while, or ends that.
+    fn change_notices(&mut self) {
+        let target = self.notice_rng.random_range(0..self.relays.len());
+        match self.notice_rng.random_range(0..6) {
+            0 => self.fleet.targets[target].standin.set_leaving(true),
+            // Only another process under the same id stops leaving.
+            1 => {
+                let target_state = &mut self.fleet.targets[target];
+                target_state.standin.set_leaving(false);
+                let started = &mut target_state.registration.started_unix_ms;
+                *started = started.map(|at| at + 1000);
+                self.fleet.store.put_target(&target_state.registration);
+                self.target_restarts[target].push(Instant::now());
+            }
+            2 => self.fleet.targets[target]
+                .standin
+                .set_retry_after(&[RETRY_AFTER_TEXT]),
+            3 => {
+                for target in &self.fleet.targets {
+                    target.standin.set_retry_after(&[]);
+                }
+            }
+            _ => {}
+        }
+    }
+
     fn disturb(&mut self, entry: usize, disturbance: Disturbance) {
         self.disturbed[entry].push((disturbance, Instant::now()));
     }
@@ -326,10 +369,18 @@
         self.fleet.entries[entry].signal(libc::SIGKILL);
     }
 
+    fn end_relay_faults(&mut self) {
+        let now = Instant::now();
+        for (relay, faults) in self.relays.iter().zip(&mut self.relay_faults) {
+            relay.set_fault(NetworkFault::None);
+            for (_, ended_at) in faults.iter_mut().filter(|(_, ended_at)| ended_at.is_none()) {
+                *ended_at = Some(now);
+            }
+        }
+    }
+
     fn end_faults(&mut self) {
-        self.relays
-            .iter()
-            .for_each(|relay| relay.set_fault(NetworkFault::None));
+        self.end_relay_faults();
         for until in self.starved_until.iter_mut().flatten() {
             *until = Instant::now();
         }
--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -76,6 +76,10 @@
     pub request_id: String,
     /// Time at which the request arrived.
     pub at: Instant,
+    /// True if the response says that the target leaves.
+    pub leaving: bool,
+    /// True if the response is a rejection that names when to come back.
+    pub declined: bool,
 }
 
 /// Responses in which a target names its limit.
@@ -300,10 +304,13 @@
     };
     let (fault, retry_after) = {
         let mut inner = shared.lock();
-        inner.arrivals.push(Arrival {
+        let arrival = Arrival {
             request_id: run.request_id.clone(),
             at: run.arrived_at,
-        });
+            leaving: inner.leaving,
+            declined: !inner.retry_after.is_empty(),
+        };
+        inner.arrivals.push(arrival);
         (inner.fault, inner.retry_after.clone())
     };
     if fault == TargetFault::Reject || !retry_after.is_empty() {
