--- a/control/src/notice.rs
+++ b/control/src/notice.rs
@@ -9,8 +9,9 @@
 
 use crate::Timestamp;
 
-/// Share of the drain period in which a target that leaves is used if there is no other.
-const LEAVING_USE_SHARE: f64 = 0.5;
+/// Time for which a target that leaves is used if there is no other: half of the drain period of the
+/// platform, in which it goes on serving.
+const LEAVING_USE: Duration = Duration::from_secs(1);
 
 /// Time for which it is remembered that a target leaves. Its process has ended long before, but a store
 /// that is restored may show its registration again.
@@ -75,20 +76,13 @@
 pub struct TargetNotices {
     /// Start of the process that gave the notices; another process under the same id is free of them.
     started_unix_ms: Option<u64>,
-    leaving: Option<Leaving>,
+    /// Time of the first response which said that the process leaves.
+    leaving_since: Option<Timestamp>,
     declined: Option<Declined>,
     /// Requests that may be in flight at a target that has come back; `None` if it has recovered.
     in_flight_max: Option<u32>,
 }
 
-/// A target that leaves.
-#[value]
-#[derive(Copy)]
-struct Leaving {
-    told_at: Timestamp,
-    last_use_at: Timestamp,
-}
-
 /// Whether notices allow a request.
 #[value]
 #[derive(Copy)]
@@ -126,22 +120,13 @@
         self.started_unix_ms == started_unix_ms
     }
 
-    /// Records that the process that started at `started_unix_ms` leaves, with a drain period of `drain`.
-    /// Returns true if that is news.
-    pub fn record_leaving(
-        &mut self,
-        now: Timestamp,
-        started_unix_ms: Option<u64>,
-        drain: Duration,
-    ) -> bool {
+    /// Records that the process that started at `started_unix_ms` leaves. Returns true if that is news.
+    pub fn record_leaving(&mut self, now: Timestamp, started_unix_ms: Option<u64>) -> bool {
         if !self.bind(started_unix_ms) {
             return false;
         }
-        let is_news = self.leaving.is_none();
-        self.leaving.get_or_insert(Leaving {
-            told_at: now,
-            last_use_at: now + drain.mul_f64(LEAVING_USE_SHARE),
-        });
+        let is_news = self.leaving_since.is_none();
+        self.leaving_since.get_or_insert(now);
         is_news
     }
 
@@ -200,13 +185,9 @@
                 return Notice::Declined { age, until };
             }
         }
-        if let Some(Leaving {
-            told_at,
-            last_use_at,
-        }) = self.leaving
-        {
-            let age = now.saturating_sub(told_at);
-            return match now < last_use_at {
+        if let Some(since) = self.leaving_since {
+            let age = now.saturating_sub(since);
+            return match age < LEAVING_USE {
                 true => Notice::LastResort,
                 false => Notice::Leaving { age },
             };
@@ -219,7 +200,7 @@
 
     /// Returns true if the target has said that it leaves.
     pub fn is_leaving(&self) -> bool {
-        self.leaving.is_some()
+        self.leaving_since.is_some()
     }
 
     /// Returns true if the target declines requests.
@@ -229,8 +210,8 @@
 
     /// Returns true if notices have to be kept although the target is not registered.
     pub fn is_kept(&self, now: Timestamp) -> bool {
-        self.leaving
-            .is_some_and(|leaving| now < leaving.told_at + LEAVING_RETENTION)
+        self.leaving_since
+            .is_some_and(|since| now < since + LEAVING_RETENTION)
             || self.is_declining(now)
     }
 }
--- a/control/tests/notice.rs
+++ b/control/tests/notice.rs
@@ -54,7 +54,7 @@
 
 #[rstest]
 #[case::at_once(1000, PROCESS, Notice::LastResort)]
-#[case::half_of_the_drain_period(2000, PROCESS, Notice::Leaving { age: ms(1000) })]
+#[case::after_a_while(2000, PROCESS, Notice::Leaving { age: ms(1000) })]
 #[case::long_after(500_000, PROCESS, Notice::Leaving { age: ms(499_000) })]
 #[case::another_process(2000, Some(2), Notice::Allowed)]
 fn target_that_leaves_gets_nothing_later(
@@ -63,9 +63,9 @@
     #[case] expected: Notice,
 ) {
     let mut notices = TargetNotices::default();
-    assert!(notices.record_leaving(ms(1000), PROCESS, ms(2000)));
+    assert!(notices.record_leaving(ms(1000), PROCESS));
     // Later responses say the same and change nothing.
-    assert!(!notices.record_leaving(ms(1500), PROCESS, ms(2000)));
+    assert!(!notices.record_leaving(ms(1500), PROCESS));
     assert_eq!(notices.check(ms(now_ms), process, 0, 0.0), expected);
 }
 
@@ -73,8 +73,8 @@
 #[test]
 fn notice_of_an_earlier_process_replaces_none_of_a_later_one() {
     let mut notices = TargetNotices::default();
-    assert!(notices.record_leaving(ms(1000), Some(2), ms(2000)));
-    assert!(!notices.record_leaving(ms(1100), Some(1), ms(2000)));
+    assert!(notices.record_leaving(ms(1000), Some(2)));
+    assert!(!notices.record_leaving(ms(1100), Some(1)));
     notices.record_declined(ms(1100), Some(1), retry_after("9"));
     let expected = Notice::Leaving { age: ms(1500) };
     assert_eq!(notices.check(ms(2500), Some(2), 0, 0.0), expected);
@@ -108,6 +108,6 @@
     assert!(!notices.is_kept(ms(0)));
     notices.record_declined(ms(0), PROCESS, retry_after("2"));
     assert!(notices.is_kept(ms(1999)) && !notices.is_kept(ms(2000)));
-    notices.record_leaving(ms(3000), PROCESS, ms(2000));
+    notices.record_leaving(ms(3000), PROCESS);
     assert!(notices.is_kept(ms(602_000)) && !notices.is_kept(ms(603_000)));
 }
--- a/entry/src/settings.rs
+++ b/entry/src/settings.rs
@@ -12,9 +12,6 @@
 use crate::dialect::Dialect;
 use crate::error::Error;
 
-/// Default of the time for which a target that leaves goes on serving.
-const DRAIN_MS_DEFAULT: u64 = 2000;
-
 /// Default limit of log lines per second. At 200 bytes per line this is 40 KB/s.
 const LOG_LINES_PER_S_DEFAULT: u32 = 200;
 
@@ -54,8 +51,6 @@
     pub grace_s: f64,
     /// Maximum time until a change in the store takes effect in this entry, in milliseconds.
     pub apply_ms: u64,
-    /// Time in milliseconds for which a target that leaves goes on serving; 2 s if it is not given.
-    pub drain_ms: Option<u64>,
     /// Resources of the VM.
     pub machine: RawMachine,
     /// Maximum rate of probes to one target, in total over all entries.
@@ -150,8 +145,6 @@
     pub grace: Duration,
     /// Maximum time until a change in the store takes effect in this entry.
     pub apply_deadline: Duration,
-    /// Time for which a target that leaves goes on serving.
-    pub drain: Duration,
     /// Maximum rate of probes to one target, in total over all entries.
     pub probes_per_s: f64,
     /// Limits on retries and hedges.
@@ -298,7 +291,6 @@
             reloadable: ReloadableSettings {
                 grace: checker.seconds("grace_s", raw.grace_s),
                 apply_deadline: checker.millis("apply_ms", raw.apply_ms),
-                drain: checker.millis("drain_ms", raw.drain_ms.unwrap_or(DRAIN_MS_DEFAULT)),
                 probes_per_s: checker.non_negative("probes_per_s", raw.probes_per_s),
                 retry: RetryLimits {
                     ratio: checker.non_negative("retry.ratio", raw.retry.ratio),
--- a/entry/src/target_notice.rs
+++ b/entry/src/target_notice.rs
@@ -14,11 +14,9 @@
     if !shared.settings.dialect.is_leaving(headers) {
         return;
     }
-    let (now, drain) = (shared.now(), shared.reloadable().drain);
+    let now = shared.now();
     let is_news = shared.with_target_stats(&target.id, |stats| {
-        stats
-            .notices
-            .record_leaving(now, target.started_unix_ms, drain)
+        stats.notices.record_leaving(now, target.started_unix_ms)
     });
     if is_news {
         info!(shared.log, "target_leaving"; "target" => &*target.id);
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -85,7 +85,7 @@
             "dialect": settings.dialect,
             "callers": caller_addr, "ready": ready_addr, "metrics": metrics_addr, "peers": peer_addr,
             "seeds": seeds, "store": settings.store_addr, "grace_s": settings.grace.as_secs_f64(),
-            "apply_ms": 2000, "drain_ms": 2000, "probes_per_s": 60.0,
+            "apply_ms": 2000, "probes_per_s": 60.0,
             "machine": { "cpu_share": 0.2, "link_mbit_s": 1000.0 },
             "retry": { "ratio": 0.2, "extra": 64.0, "window_s": 10.0 },
         });
