Bound the memory that request bodies take together

Cause: only the single body was limited, and it was copied once more when it was complete. Ruled out: buffers of hyper and sockets, which are bounded far below.

Change: a process holds at most 96 MiB of bodies (the smallest VMs have 160 MB), reserved by the announced length. What does not fit is refused with 503; nothing of it was sent. Small bodies fit beside it.

--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -209,14 +209,15 @@
         stage: &Cell<Stage>,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         let (route, service) = (plan.route(), plan.service());
-        let body = read_body(body, plan.bundle.limits.body_bytes_max).await?;
+        let body_memory = &self.shared.body_memory;
+        let body = read_body(body, plan.bundle.limits.body_bytes_max, body_memory).await?;
         stage.set(Stage::Serving);
         let mut head = head.clone();
         prepare_for_target(&mut head);
         let outbound = OutboundRequest {
             request_id: self.shared.settings.dialect.request_id(&head.headers),
             head: &head,
-            body: &body,
+            body: &body.bytes,
             repeat: route.repeat,
             service: &service.name,
             deadline: &plan.deadline,
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -22,6 +22,7 @@
 use tokio::sync::watch;
 
 use crate::connection::Pool;
+use crate::inbound::BodyMemory;
 use crate::metrics::RequestMetrics;
 use crate::queue::Queue;
 use crate::settings::{ReloadableSettings, Settings};
@@ -92,6 +93,8 @@
     pub pool: Pool,
     /// Queued requests.
     pub queue: Queue,
+    /// Memory that the bodies of requests take.
+    pub body_memory: Rc<BodyMemory>,
     /// Unknown header fields that have been logged.
     pub unknown_fields: RefCell<LoggedFields>,
     /// Random number generator.
@@ -145,6 +148,7 @@
             longest_caller_timeouts: RefCell::default(),
             pool: Pool::default(),
             queue: Queue::default(),
+            body_memory: Rc::default(),
             unknown_fields: RefCell::default(),
             rng: RefCell::new(rng),
             in_flight: Cell::new(0),
--- a/entry/tests/untrusted_targets.rs
+++ b/entry/tests/untrusted_targets.rs
@@ -5,10 +5,9 @@
 
 use std::time::Duration;
 
-use common::{expect_response, fleet_with_raw_target, read, write};
+use common::{expect_response, fleet_with_raw_target, peak_memory_kb, read, write};
 use http::StatusCode;
 use lacewingmoor_standin::caller::{RequestResult, send_request};
-use lacewingmoor_standin::fleet::Fleet;
 use lacewingmoor_standin::raw_target::Script;
 use rstest::rstest;
 
@@ -18,15 +17,6 @@
 const RESPONSE: &str = "HTTP/1.1 200 OK\r\nX-Lacewingmoor-Attempt-Id: {id}\r\n\
      X-Lacewingmoor-Server-Seal: seal\r\nContent-Length: 4\r\n\r\nbody";
 
-/// Returns the peak memory of the entry in kilobytes.
-fn peak_memory_kb(fleet: &Fleet) -> u64 {
-    let status = format!("/proc/{}/status", fleet.entries[0].id());
-    let text = std::fs::read_to_string(status).expect("the process runs");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().next());
-    kilobytes.and_then(|kb| kb.parse().ok()).expect("a number")
-}
-
 /// The copy arrived as the response to the probe that precedes the next request, whose own response was
 /// then taken for that to the request.
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
