Ignore a registration that the store writes after a later one

Cause: View::apply ordered registrations by the store's revision, and by start and sequence of the target only after a restore of the store.

Change: a registration that is older by start and sequence changes nothing, also after the key was removed.

Test: registration_that_the_store_writes_late_changes_nothing; two of four rows fail without the change.

--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -357,10 +357,30 @@
                 }
             }
         }
+        if self.is_outdated_registration(&change) {
+            self.set_revision(&change);
+            return Effect::None;
+        }
         self.held.remove(&change.key);
         self.apply_newer(now, change)
     }
 
+    /// Returns true if the change writes a registration that the target had replaced before.
+    ///
+    /// Fault: the store executes a write of a target seconds late, after the target has announced that it
+    /// will shut down.
+    fn is_outdated_registration(&self, change: &Change) -> bool {
+        let (RecordKey::Target(id), Some(RecordValue::Target(target))) =
+            (&change.key, &change.value)
+        else {
+            return false;
+        };
+        let registered = self.targets.get(id).map(|registered| &registered.target);
+        let removed = self.tombstones.get(&change.key);
+        let known = registered.or_else(|| removed.and_then(|tombstone| tombstone.target.as_ref()));
+        known.is_some_and(|known| is_older(target, known))
+    }
+
     /// Applies changes that were held back and that no other change has replaced, and drops lapsed
     /// targets that did not register again in time.
     pub fn apply_due(&mut self, now: Timestamp) -> Vec<Effect> {
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -375,3 +375,46 @@
     view.apply_due(ms(60_000));
     assert!(view.entry("n1").is_none() && view.entry("n2").is_none());
 }
+
+struct LateWriteCase {
+    /// Sequence and drain state of the registrations, in the order in which the store executes them.
+    writes: &'static [(u64, bool)],
+    /// Whether the key is removed before the last one.
+    removed: bool,
+    /// Drain state of the target afterwards; `None` if it is not registered.
+    draining: Option<bool>,
+}
+
+/// The store executes a write seconds late, when the target has written again.
+#[rstest]
+#[case::of_a_draining_target(LateWriteCase { writes: &[(5, false), (7, true), (6, false)], removed: false, draining: Some(true) })]
+#[case::of_a_removed_target(LateWriteCase { writes: &[(5, false), (7, true), (6, false)], removed: true, draining: None })]
+#[case::in_order(LateWriteCase { writes: &[(5, true), (6, false)], removed: false, draining: Some(false) })]
+#[case::after_a_removal(LateWriteCase { writes: &[(5, false), (6, false)], removed: true, draining: Some(false) })]
+fn registration_that_the_store_writes_late_changes_nothing(#[case] case: LateWriteCase) {
+    let mut view = View::default();
+    let (last, earlier) = case.writes.split_last().expect("there are writes");
+    let mut revision = 60;
+    for (sequence, draining) in earlier {
+        view.apply(
+            ms(0),
+            registered(with_sequence(*sequence, *draining), revision),
+        );
+        revision += 1;
+    }
+    if case.removed {
+        view.apply(ms(0), removed("t", revision));
+        revision += 1;
+    }
+    view.apply(ms(0), registered(with_sequence(last.0, last.1), revision));
+    let state = view
+        .target("t")
+        .map(|registered| registered.target.draining);
+    assert_eq!(state, case.draining);
+    // The revision has been seen all the same: the next write in order takes effect.
+    view.apply(ms(0), registered(with_sequence(9, false), revision + 1));
+    assert!(
+        view.target("t")
+            .is_some_and(|registered| !registered.target.draining)
+    );
+}
