Never block on standard output

Cause: a blocking write on the only thread of the process.

Change: before each chunk of PIPE_BUF bytes, poll() tells whether standard output takes it. The rest stays in the buffer; above its size lines are left out and counted.

Test: reader_of_the_log_that_stands_still_stops_no_request; fails without the change.

--- a/entry/src/log.rs
+++ b/entry/src/log.rs
@@ -1,27 +1,29 @@
 //! Logs: one line of key=value pairs per event on standard output, with a bounded volume.
 //!
-//! Lines are buffered and written by the only thread of the process between other tasks. Standard
-//! output must not block, because a blocked write would stop all requests; this is not enforced.
-//! Lines below warning level that exceed the configured rate, and lines of any level that arrive
+//! Lines are buffered and written by the only thread of the process between other tasks. A blocked write
+//! would stop all requests, so only as much is written as standard output takes at once. Lines below warning level that exceed the configured rate, and lines of any level that arrive
 //! while the buffer is full, are left out and counted, and the count is logged.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Write as _};
 use std::io::Write as _;
+use std::os::fd::AsFd as _;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use metrics::counter;
 use slog::{Drain, KV as _, Key, Level, Logger, Never, OwnedKVList, Record};
 
 /// Buffer size above which lines are left out. Sized for a reader of standard output that pauses for
-/// about a second (1.6 s of lines at the default limit of 40 KB/s), although [`flush`], which runs
-/// every [`WRITE_INTERVAL`], empties the buffer even if a write fails. Warnings are limited by this
-/// size only.
+/// about a second (1.6 s of lines at the default limit of 40 KB/s). Warnings are limited by this size
+/// only.
 const BUFFER_BYTES_MAX: usize = 64 * 1024;
 
 /// Capacity of the token bucket, in seconds of the allowed rate.
 const BURST_S: f64 = 2.0;
 
+/// Bytes that are written at once: what a pipe takes that counts as writable.
+const CHUNK_BYTES: usize = libc::PIPE_BUF;
+
 /// Interval at which buffered lines are written.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -66,7 +68,7 @@
     Logger::root(slog::Discard, slog::o!())
 }
 
-/// Writes buffered lines to standard output.
+/// Writes buffered lines to standard output, as far as it takes them without blocking.
 pub fn flush() {
     BUFFER.with_borrow(|buffer| {
         let Some(buffer) = buffer else {
@@ -74,17 +76,43 @@
         };
         buffer.report_left_out();
         let mut bytes = buffer.bytes.borrow_mut();
-        if bytes.is_empty() {
-            return;
-        }
-        // A log that cannot be written must not stop the process; the failed write is counted.
-        if std::io::stdout().write_all(&bytes).is_err() {
-            counter!("lacewingmoor_log_writes_failed_total").increment(1);
-        }
-        bytes.clear();
+        let written = match write_available(&bytes) {
+            Ok(written) => written,
+            // A log that cannot be written must not stop the process; the failed write is counted.
+            Err(_) => {
+                counter!("lacewingmoor_log_writes_failed_total").increment(1);
+                bytes.len()
+            }
+        };
+        bytes.drain(..written);
     });
 }
 
+/// Writes as much as standard output takes without blocking, and returns the number of bytes.
+fn write_available(bytes: &[u8]) -> std::io::Result<usize> {
+    let mut written = 0;
+    while written < bytes.len() && is_stdout_writable() {
+        let end = bytes.len().min(written + CHUNK_BYTES);
+        // `Stdout` would keep the last incomplete line, and write it later without asking.
+        let output = std::io::stdout().as_fd().try_clone_to_owned()?;
+        written += std::fs::File::from(output).write(&bytes[written..end])?;
+    }
+    Ok(written)
+}
+
+/// Returns true if standard output takes a chunk at once. Files always do.
+fn is_stdout_writable() -> bool {
+    let mut descriptor = libc::pollfd {
+        fd: libc::STDOUT_FILENO,
+        events: libc::POLLOUT,
+        revents: 0,
+    };
+    // SAFETY: poll() accesses nothing but `descriptor`.
+    let ready_count = unsafe { libc::poll(&mut descriptor, 1, 0) };
+    // A write reports what is wrong with a descriptor that cannot be polled.
+    ready_count != 0
+}
+
 impl Buffer {
     /// Takes a token for one line if the allowed rate and the size of the buffer allow it.
     fn try_take(&self) -> bool {
--- a/entry/tests/log.rs
+++ b/entry/tests/log.rs
@@ -78,3 +78,24 @@
     .await;
     assert!(entry.log_text().contains("request=\"x event=start \\\"y\""));
 }
+
+/// The reader of standard output, a pipe, stands still. The process stopped with it as soon as the pipe was
+/// full.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn reader_of_the_log_that_stands_still_stops_no_request() {
+    let mut fleet = fleet(&lanes(), 1).await;
+    let reader = fleet.entries[0]
+        .restart_with_pipe()
+        .expect("the entry starts");
+    fleet
+        .wait_ready(common::EVENT_TIMEOUT)
+        .await
+        .expect("the entry is ready");
+    // A pipe and the buffer of the process have 64 KiB each, a line has more than 200 bytes.
+    for i in 0..1200 {
+        let response = expect_response(&fleet.entries[0], &read(&format!("r-{i}"))).await;
+        assert_eq!(response.status.as_u16(), 200);
+    }
+    let text = reader.read_until("event=log_lines_left_out");
+    assert!(text.contains("event=start "), "{text}");
+}
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -1,10 +1,10 @@
 //! Runs an entry as a separate process.
 
 use std::fs::File;
-use std::io;
+use std::io::{self, Read as _};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, Stdio};
+use std::process::{Child, ChildStdout, Command, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
 
@@ -115,6 +115,26 @@
         Ok(())
     }
 
+    /// Kills the process and starts it again, with a pipe as its standard output.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the process cannot be started.
+    pub fn restart_with_pipe(&mut self) -> io::Result<LogReader> {
+        self.child.kill()?;
+        self.child.wait()?;
+        self.child = Command::new(&self.binary)
+            .arg("--settings")
+            .arg(&self.settings_path)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()?;
+        let output = self.child.stdout.take();
+        output
+            .map(LogReader)
+            .ok_or_else(|| io::ErrorKind::BrokenPipe.into())
+    }
+
     /// Returns the id of the process.
     pub fn id(&self) -> u32 {
         self.child.id()
@@ -161,6 +181,24 @@
     }
 }
 
+/// Reader of an entry's standard output, which reads nothing until it is told to.
+pub struct LogReader(ChildStdout);
+
+impl LogReader {
+    /// Reads until the text is there or the output ends, and returns what was read.
+    pub fn read_until(mut self, text: &str) -> String {
+        let mut bytes = Vec::new();
+        let mut part = [0; 4096];
+        while let Ok(count @ 1..) = self.0.read(&mut part) {
+            bytes.extend_from_slice(&part[..count]);
+            if String::from_utf8_lossy(&bytes).contains(text) {
+                break;
+            }
+        }
+        String::from_utf8_lossy(&bytes).into_owned()
+    }
+}
+
 fn spawn(binary: &Path, settings_path: &Path, log_path: &Path) -> io::Result<Child> {
     let output = File::options().create(true).append(true).open(log_path)?;
     Command::new(binary)
