Write the log from a thread of its own

Change: a thread writes the log and takes lines only while it is not writing, so that the other thread never waits for it.

--- a/entry/src/log.rs
+++ b/entry/src/log.rs
@@ -1,13 +1,15 @@
 //! Logs: one line of key=value pairs per event on standard output, with a bounded volume.
 //!
-//! Lines are buffered and written by the only thread of the process between other tasks. A blocked write
-//! would stop all requests, so only as much is written as standard output takes at once. Lines below warning level that exceed the configured rate, and lines of any level that arrive
+//! Lines are buffered and written by a thread of their own, since a blocked write would stop all requests.
+//! Lines below warning level that exceed the configured rate, and lines of any level that arrive
 //! while the buffer is full, are left out and counted, and the count is logged.
 
 use std::cell::{Cell, RefCell};
 use std::fmt::{self, Write as _};
 use std::io::Write as _;
-use std::os::fd::AsFd as _;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::mpsc::{SyncSender, TrySendError, sync_channel};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use metrics::counter;
@@ -21,13 +23,17 @@
 /// Capacity of the token bucket, in seconds of the allowed rate.
 const BURST_S: f64 = 2.0;
 
-/// Bytes that are written at once: what a pipe takes that counts as writable.
-const CHUNK_BYTES: usize = libc::PIPE_BUF;
+/// Time that a process that exits waits for its last lines to be written.
+const LAST_WRITE_TIMEOUT: Duration = Duration::from_millis(50);
+
+/// Interval at which it checks whether they are.
+const WRITE_CHECK_INTERVAL: Duration = Duration::from_millis(1);
 
 /// Interval at which buffered lines are written.
 pub const WRITE_INTERVAL: Duration = Duration::from_millis(200);
 
 struct Buffer {
+    writer: Writer,
     bytes: RefCell<Vec<u8>>,
     tokens: Cell<f64>,
     refilled_at: Cell<Instant>,
@@ -41,8 +47,13 @@
 
 /// Returns a logger that writes events of `level` and above. `lines_per_s` is the rate limit of
 /// lines below warning level, in lines per second.
-pub fn logger(level: Level, lines_per_s: u32, entry_name: &str) -> Logger {
+///
+/// # Errors
+///
+/// Returns an error if the thread that writes the lines cannot be started.
+pub fn logger(level: Level, lines_per_s: u32, entry_name: &str) -> std::io::Result<Logger> {
     let buffer = Buffer {
+        writer: start_writer()?,
         bytes: RefCell::default(),
         tokens: Cell::new(f64::from(lines_per_s) * BURST_S),
         refilled_at: Cell::new(Instant::now()),
@@ -51,7 +62,10 @@
     };
     BUFFER.set(Some(buffer));
     let drain = LineDrain.filter_level(level).fuse();
-    Logger::root(drain, slog::o!("node" => entry_name.to_owned()))
+    Ok(Logger::root(
+        drain,
+        slog::o!("node" => entry_name.to_owned()),
+    ))
 }
 
 /// Sets the rate limit of lines below warning level, in lines per second.
@@ -68,52 +82,78 @@
     Logger::root(slog::Discard, slog::o!())
 }
 
-/// Writes buffered lines to standard output, as far as it takes them without blocking.
+/// Hands buffered lines to the thread that writes them, unless it is still writing earlier ones.
 pub fn flush() {
+    BUFFER.with_borrow(|buffer| {
+        if let Some(buffer) = buffer {
+            buffer.hand_over();
+        }
+    });
+}
+
+/// Writes all buffered lines, or as many as standard output takes in [`LAST_WRITE_TIMEOUT`].
+pub fn flush_at_exit() {
+    let deadline = Instant::now() + LAST_WRITE_TIMEOUT;
     BUFFER.with_borrow(|buffer| {
         let Some(buffer) = buffer else {
             return;
         };
-        buffer.report_left_out();
-        let mut bytes = buffer.bytes.borrow_mut();
-        let written = match write_available(&bytes) {
-            Ok(written) => written,
-            // A log that cannot be written must not stop the process; the failed write is counted.
-            Err(_) => {
-                counter!("lacewingmoor_log_writes_failed_total").increment(1);
-                bytes.len()
-            }
-        };
-        bytes.drain(..written);
+        buffer.hand_over();
+        while !buffer.is_written() && Instant::now() < deadline {
+            std::thread::sleep(WRITE_CHECK_INTERVAL);
+            buffer.hand_over();
+        }
     });
 }
 
-/// Writes as much as standard output takes without blocking, and returns the number of bytes.
-fn write_available(bytes: &[u8]) -> std::io::Result<usize> {
-    let mut written = 0;
-    while written < bytes.len() && is_stdout_writable() {
-        let end = bytes.len().min(written + CHUNK_BYTES);
-        // `Stdout` would keep the last incomplete line, and write it later without asking.
-        let output = std::io::stdout().as_fd().try_clone_to_owned()?;
-        written += std::fs::File::from(output).write(&bytes[written..end])?;
-    }
-    Ok(written)
+/// Starts the thread that writes to standard output what it receives.
+fn start_writer() -> std::io::Result<Writer> {
+    // Without capacity, lines are taken only while the thread is not writing.
+    let (sender, receiver) = sync_channel::<Vec<u8>>(0);
+    let is_writing = Arc::new(AtomicBool::new(false));
+    let state = is_writing.clone();
+    let write_all = move || {
+        for bytes in receiver {
+            // A log that cannot be written must not stop the process; the failed write is counted.
+            if std::io::stdout().write_all(&bytes).is_err() {
+                counter!("lacewingmoor_log_writes_failed_total").increment(1);
+            }
+            state.store(false, Ordering::Release);
+        }
+    };
+    std::thread::Builder::new()
+        .name("log".into())
+        .spawn(write_all)?;
+    Ok(Writer { sender, is_writing })
 }
 
-/// Returns true if standard output takes a chunk at once. Files always do.
-fn is_stdout_writable() -> bool {
-    let mut descriptor = libc::pollfd {
-        fd: libc::STDOUT_FILENO,
-        events: libc::POLLOUT,
-        revents: 0,
-    };
-    // SAFETY: poll() accesses nothing but `descriptor`.
-    let ready_count = unsafe { libc::poll(&mut descriptor, 1, 0) };
-    // A write reports what is wrong with a descriptor that cannot be polled.
-    ready_count != 0
+/// The thread that writes to standard output.
+struct Writer {
+    sender: SyncSender<Vec<u8>>,
+    is_writing: Arc<AtomicBool>,
 }
 
 impl Buffer {
+    /// Hands the lines to the writer if it takes them.
+    fn hand_over(&self) {
+        self.report_left_out();
+        let mut bytes = self.bytes.borrow_mut();
+        if bytes.is_empty() {
+            return;
+        }
+        self.writer.is_writing.store(true, Ordering::Release);
+        if let Err(TrySendError::Full(unsent) | TrySendError::Disconnected(unsent)) =
+            self.writer.sender.try_send(std::mem::take(&mut *bytes))
+        {
+            *bytes = unsent;
+        }
+    }
+
+    /// Returns true if all lines are written.
+    fn is_written(&self) -> bool {
+        self.bytes.borrow().is_empty() && !self.writer.is_writing.load(Ordering::Acquire)
+    }
+
     /// Takes a token for one line if the allowed rate and the size of the buffer allow it.
     fn try_take(&self) -> bool {
         let now = Instant::now();
--- a/entry/src/process.rs
+++ b/entry/src/process.rs
@@ -90,7 +90,8 @@
         settings.log_level,
         settings.reloadable.log_lines_per_s,
         &settings.entry_name,
-    );
+    )
+    .map_err(|e| Error::Start("log", e))?;
     let shared = SharedState::new(settings, log);
     let caller_listener = listen("callers", shared.settings.caller_addr).await?;
     let ready_listener = listen("readiness checks", shared.settings.ready_addr).await?;
@@ -132,7 +133,7 @@
         "in_flight" => shared.in_flight.get(),
         "connections" => shared.caller_connections.get(),
     );
-    log::flush();
+    log::flush_at_exit();
     Ok(())
 }
 
