Look at the notices of a target only if there are any

check() hashed the names of entry and target for each target that has statistics, also where nothing had been said.

--- a/control/src/availability.rs
+++ b/control/src/availability.rs
@@ -154,6 +154,9 @@
         registered: &RegisteredTarget,
         stats: &TargetStats,
     ) -> Result<Use, Exclusion> {
+        if stats.notices.is_empty() {
+            return Ok(Use::Normal);
+        }
         let target = &registered.target;
         let key = rendezvous_key(&self.locality.entry, &target.id);
         let spread = key as f64 / u64::MAX as f64;
--- a/control/src/notice.rs
+++ b/control/src/notice.rs
@@ -198,6 +198,11 @@
         }
     }
 
+    /// Returns true if there is no notice.
+    pub fn is_empty(&self) -> bool {
+        self.leaving_since.is_none() && self.declined.is_none()
+    }
+
     /// Returns true if the target has said that it leaves.
     pub fn is_leaving(&self) -> bool {
         self.leaving_since.is_some()
