Test refusals beyond limits with an entry that can ask its targets

requests_beyond_the_limits_of_all_targets_are_refused_at_once failed beside load: a request was answered 200 instead of 503.

The probe budget, which starts almost empty, pays for probes of two targets, which name their limits. In the second round it has none left, and the request goes, unprobed, to a target that has told this entry nothing (rounds=2, expected_ms=160, sent_ms=2, target_limit in=Request only afterwards).

That is allowed: "LIMIT ... summed over the machines that had passed on such an answer half a second before or earlier". So the product stays as it is, and the test lets a second pass after the start, in which the budget pays for probes of all targets. All that it checks stays.

--- a/entry/tests/limits.rs
+++ b/entry/tests/limits.rs
@@ -72,6 +72,9 @@
     counted
 }
 
+/// Time after which an entry has probes for all targets.
+const PROBES_AVAILABLE_AFTER: Duration = Duration::from_secs(1);
+
 /// Returns the largest number of arrivals in a window that starts at `from` or later.
 fn most_in_a_window(arrivals: &[Instant], from: Instant) -> usize {
     let counts = arrivals.iter().enumerate().map(|(i, start)| {
@@ -115,6 +118,9 @@
         let limit = Some(("0", LimitScope::AllResponses));
         target.standin.set_limit(limit);
     }
+    // In the first milliseconds of its process, an entry has too few probes to ask every target, and sends
+    // a request to one that has not told it its limit.
+    tokio::time::sleep(PROBES_AVAILABLE_AFTER).await;
     // Each would wait for nearly two seconds, the timeout of the route.
     let requests = async {
         for i in 0..30 {
