Count an entry as told a limit only when the response was sent

Each request is hedged after 30 ms and answered by another target. The check took the arrival of its first request for the telling.

That is allowed: "LIMIT ... summed over the machines that had passed on such an answer". Bound, windows and excuses stay.

Seen on the way, open: a target that answers probes and no request goes on getting idempotent ones, since a send whose hedge wins leaves no trace in its statistics.

--- a/standin/src/target.rs
+++ b/standin/src/target.rs
@@ -100,6 +100,7 @@
     leaving: bool,
     retry_after: Vec<HeaderValue>,
     arrivals: Vec<Arrival>,
+    limit_told: Vec<(String, Instant)>,
     running: u32,
     queued: u32,
     max_running: u32,
@@ -190,6 +191,12 @@
         self.shared.lock().retry_after = texts.iter().map(value).collect();
     }
 
+    /// Returns the ids of requests whose response named the limit and could be used, with the times at which
+    /// these were sent.
+    pub fn limit_told(&self) -> Vec<(String, Instant)> {
+        self.shared.lock().limit_told.clone()
+    }
+
     /// Returns the requests that reached the target, in that order.
     pub fn arrivals(&self) -> Vec<Arrival> {
         self.shared.lock().arrivals.clone()
@@ -247,6 +254,15 @@
         response.headers_mut().insert(headers::SERVER_LOAD, value);
     }
 
+    fn record_limit_told(&self, request_id: &str) {
+        let mut inner = self.lock();
+        if inner.limit.is_some() {
+            inner
+                .limit_told
+                .push((request_id.to_owned(), Instant::now()));
+        }
+    }
+
     fn add_limit(&self, response: &mut Response<Full<Bytes>>, is_probe: bool) {
         let limit = self.lock().limit.clone();
         if let Some((value, scope)) = limit
@@ -324,6 +340,7 @@
         }
         echo_request_id(&head.headers, &mut response);
         shared.add_limit(&mut response, false);
+        shared.record_limit_told(&run.request_id);
         return Ok(response);
     }
     let request_id = run.request_id.clone();
@@ -380,6 +397,9 @@
     }
     shared.add_load(&mut response);
     shared.add_limit(&mut response, false);
+    if fault != TargetFault::WrongId {
+        shared.record_limit_told(request_id);
+    }
     Ok(response)
 }
 
