Refuse requests that a shutdown may not let end

Cause: nothing on the way to a target asked how much of the grace period is left. Only the wait in the queue was limited, by the mean time that a request takes. Requests also come or wait late behind pipelined ones, with the rest of a head or body, for a retry or a hedge.

Evidence: the entry logs status=502 reason="shutting down" sent_ms=0 ms=1011, 5.5 s after stopping in_flight=0: the order came late and was sent at once. Ruled out: a long run of an order from before the signal, and a long wait in the entry.

Change: Shutdown::send_window in control/ decides until when a target may get a request; the head, the end of the body, the queue, each attempt and each hedge ask it. A request that its timeout ends in time is always sent. Any other is sent if it came while connections were accepted and twice its expected time is left.

Tests shutdown, request_ends, callers, requests, workspaces and rollout pass.

--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -14,6 +14,7 @@
 use crate::Timestamp;
 use crate::fairness::VirtualTime;
 use crate::selection::{Estimate, Scope};
+use crate::shutdown::SendWindow;
 
 /// Share of the caller's remaining time after which a request may be retried that got no target in
 /// time, or that targets rejected while others are queued. Callers honour a retry-after of up to a
@@ -158,6 +159,17 @@
         estimate.reserved && matches!(rank.urgency, Urgency::Late(_))
     }
 
+    /// Brings the hard deadline forward, so that the request leaves the queue when a shutdown lets it be
+    /// sent no more.
+    pub fn limit_to(&mut self, window: SendWindow, service_time: Duration) {
+        let limit = match window {
+            SendWindow::Open => return,
+            SendWindow::Until(at) => at + service_time,
+            SendWindow::Closed => Timestamp::ZERO,
+        };
+        self.hard_deadline = self.hard_deadline.min(limit);
+    }
+
     /// Returns when the request leaves the queue, because no target could respond in the remaining
     /// time.
     pub fn queue_deadline(&self, service_time: Duration) -> Timestamp {
--- a/control/src/shutdown.rs
+++ b/control/src/shutdown.rs
@@ -4,6 +4,9 @@
 //! callers elsewhere, so the listener stays open that long. Responses ask callers to close their
 //! connections, and requests in flight may finish until shortly before the process is killed. Those
 //! that have not finished by then get a response that says whether they may have run.
+//!
+//! So that none of these breaks off work of a target, [`Shutdown::send_window`] decides which requests a
+//! target may still get. Whatever a request waits for, it asks before each send.
 
 use std::time::Duration;
 
@@ -21,6 +24,46 @@
 /// time in which a request that its target is still running may be broken off.
 const RESPONSE_MARGIN_SHARE: f64 = 1.0 / 12.0;
 
+/// Multiple of the time that a target is expected to take for a request which must be left before the
+/// last responses. The expected time is an average.
+const EXPECTED_TIME_FACTOR: u32 = 2;
+
+/// Time after which a caller may retry that a shutdown refuses. Another entry can serve it at once.
+pub const REFUSAL_RETRY_AFTER: Duration = Duration::from_millis(50);
+
+/// Times of a request on which it depends whether a shutdown leaves enough time for it.
+#[copy_value]
+pub struct RequestTimes {
+    /// When its last byte was read; the current time while its body comes in.
+    pub read_at: Timestamp,
+    /// When it ends at the latest, because its timeout has expired.
+    pub ends_by: Timestamp,
+    /// Time that a target is expected to take for it.
+    pub expected: Duration,
+}
+
+/// When a request may be sent to a target.
+#[copy_value]
+pub enum SendWindow {
+    /// For as long as it lasts.
+    Open,
+    /// Up to this time.
+    Until(Timestamp),
+    /// Not any more.
+    Closed,
+}
+
+impl SendWindow {
+    /// Returns true if the request may be sent at `now`.
+    pub fn allows(self, now: Timestamp) -> bool {
+        match self {
+            Self::Open => true,
+            Self::Until(at) => now <= at,
+            Self::Closed => false,
+        }
+    }
+}
+
 /// Phase of the process.
 #[copy_value]
 pub enum Phase {
@@ -65,12 +108,26 @@
         }
     }
 
-    /// Returns by when a request that arrives now, or has arrived, must have its response: at
-    /// `deadline`, or when the shutdown gives the last responses.
-    pub fn limit_deadline(&self, deadline: Timestamp, grace: Duration) -> Timestamp {
-        match self.signalled_at {
-            Some(at) => deadline.min(at + finish_period(grace)),
-            None => deadline,
+    /// Returns when a request may be sent to a target, for a grace period of `grace`.
+    ///
+    /// As long as connections are accepted, a caller that is refused may come back to this entry, so a
+    /// request is sent if its expected time fits. From then on, callers reach other entries, and only a
+    /// request is sent that its own timeout ends before the last responses are given.
+    ///
+    /// Load pattern: callers go on using connections whose last response began before the signal, and
+    /// send requests on them until the process ends.
+    pub fn send_window(&self, request: RequestTimes, grace: Duration) -> SendWindow {
+        let Some(signalled_at) = self.signalled_at else {
+            return SendWindow::Open;
+        };
+        let responds_at = signalled_at + finish_period(grace);
+        if request.ends_by <= responds_at {
+            SendWindow::Open
+        } else if request.read_at >= signalled_at + ACCEPT_PERIOD {
+            SendWindow::Closed
+        } else {
+            let needed = request.expected * EXPECTED_TIME_FACTOR;
+            SendWindow::Until(responds_at.saturating_sub(needed))
         }
     }
 }
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -257,7 +257,8 @@
 ) -> Result<Candidate, Duration> {
     let (sender, mut receiver) = oneshot::channel();
     let mut pending = search.pending.clone();
-    pending.hard_deadline = shared.limit_to_shutdown(pending.hard_deadline);
+    let window = search.deadline.send_window(shared, service_time);
+    pending.limit_to(window, service_time);
     check_send_times(shared, search, service_time, Queueing::New)?;
     let trip = search.trip(shared);
     let start_probing = {
@@ -305,7 +306,8 @@
             }
             () = &mut shutdown, if !is_shutting_down => {
                 is_shutting_down = true;
-                pending.hard_deadline = shared.limit_to_shutdown(pending.hard_deadline);
+                let window = search.deadline.send_window(shared, service_time);
+                pending.limit_to(window, service_time);
                 check_wait(shared, search, &pending, service_time)?;
             }
             () = tokio::time::sleep_until(shared.instant(wakes_at)) => {
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -18,6 +18,7 @@
 use lacewingmoor_control::model::{TargetId, ZoneName};
 use lacewingmoor_control::selection::Estimate;
 use lacewingmoor_control::selection::ServiceTime;
+use lacewingmoor_control::shutdown::{REFUSAL_RETRY_AFTER, SendWindow};
 use lacewingmoor_control::silence::UnansweredAttempt;
 use lacewingmoor_derive::copy_value;
 use slog::{debug, info};
@@ -48,6 +49,9 @@
 /// other regions.
 const LARGE_RESPONSE_BYTES: f64 = 20_000.0;
 
+/// Reason of a response that a shutdown gives.
+const SHUTTING_DOWN: &str = "shutting down";
+
 /// Reason in the log of a response that came from a target.
 const ANSWERED: &str = "answered";
 
@@ -204,6 +208,9 @@
             }
         };
         let shared = self.shared;
+        if plan.deadline.send_window(shared, Duration::ZERO) == SendWindow::Closed {
+            return Err(LocalResponse::not_run(SHUTTING_DOWN, REFUSAL_RETRY_AFTER));
+        }
         let stage = Cell::new(Stage::ReadingRequest);
         let expiry = tokio::select! {
             biased;
@@ -253,6 +260,7 @@
         let limit = self.shared.reloadable().bounds.body_bytes();
         let body = read_body(body, bytes_max, &self.shared.body_memory, limit).await?;
         stage.set(Stage::Serving);
+        plan.deadline.record_request_read(self.shared.now());
         let mut head = head.clone();
         prepare_for_target(&mut head);
         let dialect = self.shared.settings.dialect;
@@ -287,6 +295,7 @@
                 },
                 large_response: self.has_large_responses(service),
             },
+            deadline: &plan.deadline,
             caller_deadline: plan.caller_deadline,
             body_bytes: body.len(),
             tried: Vec::new(),
@@ -304,7 +313,7 @@
     fn unanswered(&self, plan: &RequestPlan, stage: Stage, expiry: Expiry) -> LocalResponse {
         let reason = match expiry {
             Expiry::Deadline => "timed out",
-            Expiry::Shutdown => "shutting down",
+            Expiry::Shutdown => SHUTTING_DOWN,
         };
         if self.attempts.may_have_run() {
             let status = match expiry {
@@ -391,6 +400,7 @@
         mut search: TargetSearch<'_>,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         loop {
+            self.check_shutdown(outbound, search.service_time(self.shared))?;
             let (bundle, route_id) = (search.bundle.clone(), search.route_id);
             let candidate = tokio::select! {
                 biased;
@@ -413,9 +423,12 @@
                     return Err(LocalResponse::not_run("no target in time", retry_after));
                 }
             };
-            if let Err(refusal) = self.check_key((search.bundle, search.route_id)) {
+            let key = self.check_key((search.bundle, search.route_id));
+            let refusal = key.map_err(|refusal| self.key_refusal(refusal));
+            let expected = candidate.estimate.expected_latency;
+            if let Err(refusal) = refusal.and_then(|()| self.check_shutdown(outbound, expected)) {
                 queue::offer(self.shared, &search.service.name, candidate);
-                return Err(self.key_refusal(refusal));
+                return Err(refusal);
             }
             if self.attempts.sent() == 0 {
                 let waited = self.shared.now().saturating_sub(self.arrived_at);
@@ -499,6 +512,9 @@
         let candidate = match candidate {
             Some(candidate)
                 if self.check_key((search.bundle, search.route_id)).is_ok()
+                    && self
+                        .check_shutdown(outbound, candidate.estimate.expected_latency)
+                        .is_ok()
                     && self.try_take_retry(search.service, RetryReason::Hedge) =>
             {
                 candidate
@@ -570,6 +586,24 @@
         }
     }
 
+    /// Checks that a shutdown leaves the time that a target is expected to take for the request.
+    fn check_shutdown(
+        &self,
+        outbound: &OutboundRequest<'_>,
+        expected: Duration,
+    ) -> Result<(), LocalResponse> {
+        let shared = self.shared;
+        let window = outbound.deadline.send_window(shared, expected);
+        match (window.allows(shared.now()), self.attempts.may_have_run()) {
+            (true, _) => Ok(()),
+            (false, true) => Err(LocalResponse::unknown(
+                StatusCode::BAD_GATEWAY,
+                SHUTTING_DOWN,
+            )),
+            (false, false) => Err(LocalResponse::not_run(SHUTTING_DOWN, REFUSAL_RETRY_AFTER)),
+        }
+    }
+
     /// Returns the response to a request that must not be sent any more.
     fn key_refusal(&self, refusal: LocalResponse) -> LocalResponse {
         match self.attempts.may_have_run() {
--- a/entry/src/request_deadline.rs
+++ b/entry/src/request_deadline.rs
@@ -1,10 +1,10 @@
-//! When a request must have its response, whatever it is waiting for.
+//! When a request must have its response, whatever it is waiting for, and until when it may be sent.
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use lacewingmoor_control::Timestamp;
-use lacewingmoor_control::shutdown::Phase;
+use lacewingmoor_control::shutdown::{Phase, RequestTimes, SendWindow};
 use lacewingmoor_derive::copy_value;
 
 use crate::shared_state::SharedState;
@@ -19,13 +19,15 @@
 pub enum Expiry {
     /// The timeout of the route or of the caller has expired.
     Deadline,
-    /// The process is shutting down and gives the last responses.
+    /// The process is shutting down, and gives the last responses or has no time left for the request.
     Shutdown,
 }
 
 /// Deadline of a request: the end of the caller's timeout or of the route's, whichever is first.
 pub struct RequestDeadline {
     at: Timestamp,
+    /// When the last byte of the request was read; `None` while its body comes in.
+    read_at: Cell<Option<Timestamp>>,
     has_response_head: Cell<bool>,
 }
 
@@ -34,6 +36,7 @@
     pub fn new(at: Timestamp) -> Self {
         Self {
             at,
+            read_at: Cell::new(None),
             has_response_head: Cell::new(false),
         }
     }
@@ -48,11 +51,35 @@
         self.at + RESPONSE_BODY_GRACE
     }
 
+    /// Records that the last byte of the request was read at `now`.
+    pub fn record_request_read(&self, now: Timestamp) {
+        self.read_at.set(Some(now));
+    }
+
+    /// Returns when the request may be sent to a target that is expected to take `expected`.
+    pub fn send_window(&self, shared: &SharedState, expected: Duration) -> SendWindow {
+        shared.send_window(RequestTimes {
+            read_at: self.read_at.get().unwrap_or_else(|| shared.now()),
+            ends_by: self.body_ends_by(),
+            expected,
+        })
+    }
+
     /// Records that the head of a response has arrived, so that the request waits for its body.
     pub fn record_response_head(&self) {
         self.has_response_head.set(true);
     }
 
+    /// Waits until it is known that a shutdown lets no target have the request, because its body is still
+    /// coming in when no more connections are accepted.
+    async fn misses_shutdown(&self, shared: &SharedState) {
+        shared.wait_for_phase(Phase::Finishing).await;
+        let is_coming_in = self.read_at.get().is_none();
+        if !is_coming_in || self.send_window(shared, Duration::ZERO) != SendWindow::Closed {
+            std::future::pending::<()>().await;
+        }
+    }
+
     /// Waits until the request must end, and returns why.
     pub async fn expiry(&self, shared: &SharedState) -> Expiry {
         let deadline = async {
@@ -64,6 +91,7 @@
         tokio::select! {
             () = deadline => Expiry::Deadline,
             () = shared.wait_for_phase(Phase::Responding) => Expiry::Shutdown,
+            () = self.misses_shutdown(shared) => Expiry::Shutdown,
         }
     }
 }
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -14,7 +14,7 @@
 use lacewingmoor_control::rollout::exposure::VersionChoice;
 use lacewingmoor_control::rollout::local::LocalRollouts;
 use lacewingmoor_control::selection::{Locality, ServiceTime};
-use lacewingmoor_control::shutdown::{Phase, Shutdown};
+use lacewingmoor_control::shutdown::{Phase, RequestTimes, SendWindow, Shutdown};
 use lacewingmoor_control::source::{SourceHealth, is_registered};
 use lacewingmoor_control::split::WeightedRoundRobin;
 use lacewingmoor_control::stats::TargetStats;
@@ -243,11 +243,10 @@
         phase
     }
 
-    /// Returns `deadline`, or when a shutdown that has started gives the last responses, whichever is
-    /// first.
-    pub fn limit_to_shutdown(&self, deadline: Timestamp) -> Timestamp {
+    /// Returns when a request may be sent to a target, which a shutdown limits.
+    pub fn send_window(&self, request: RequestTimes) -> SendWindow {
         let grace = self.reloadable().grace;
-        self.shutdown.borrow().limit_deadline(deadline, grace)
+        self.shutdown.borrow().send_window(request, grace)
     }
 
     /// Waits until the start of `phase` or a later one has been notified.
--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -20,6 +20,7 @@
 use crate::connection::Connection;
 use crate::probe::{self, ProbeResult};
 use crate::queue;
+use crate::request_deadline::RequestDeadline;
 use crate::shared_state::SharedState;
 use crate::zone_search::targets_of;
 
@@ -79,6 +80,8 @@
     pub service: &'a Service,
     /// Deadlines and priority of the request.
     pub pending: PendingRequest,
+    /// When the request must have its response.
+    pub deadline: &'a RequestDeadline,
     /// When the caller's timeout expires.
     pub caller_deadline: Timestamp,
     /// Size of the request's body.
@@ -225,7 +228,7 @@
         shared: &Rc<SharedState>,
         mut reason: QueueReason,
     ) -> Result<Candidate, Duration> {
-        let service_time = self.prober(shared).service_time();
+        let service_time = self.service_time(shared);
         loop {
             let candidate = queue::wait(shared, self, service_time, reason).await?;
             if self.prober(shared).try_reserve(&candidate) {
@@ -261,6 +264,11 @@
         texts.collect::<Vec<_>>().join("; ")
     }
 
+    /// Returns the time that a target at full speed takes for the request.
+    pub fn service_time(&self, shared: &Rc<SharedState>) -> Duration {
+        self.prober(shared).service_time()
+    }
+
     fn prober<'b>(&'b self, shared: &'b Rc<SharedState>) -> TargetProber<'b> {
         TargetProber {
             shared,
--- a/standin/src/raw_target.rs
+++ b/standin/src/raw_target.rs
@@ -38,6 +38,8 @@
     Close(String),
     /// Sends these bytes and resets the connection a moment later.
     Reset(String),
+    /// Sends each of these bytes after its pause, and then follows the script.
+    Paced(Vec<(Duration, String)>, Box<Script>),
     /// Follows the first script for the first request that it gets, and the second one from then on.
     Then(Box<Script>, Box<Script>),
     /// Sends nothing, not even in response to probes.
@@ -221,7 +223,15 @@
             stream.write_all(copy.as_bytes()).await?;
         }
         let fill_in = |text: &str| text.replace("{id}", request_id(&head));
-        match next_script(shared) {
+        let mut script = next_script(shared);
+        while let Script::Paced(parts, rest) = script {
+            for (pause, text) in parts {
+                tokio::time::sleep(pause).await;
+                stream.write_all(fill_in(&text).as_bytes()).await?;
+            }
+            script = *rest;
+        }
+        match script {
             Script::Once(text) => stream.write_all(fill_in(&text).as_bytes()).await?,
             Script::SecondCopy(text) => {
                 let text = fill_in(&text);
@@ -251,7 +261,7 @@
                 stream.write_all(fill_in(&text).as_bytes()).await?;
                 return stream.shutdown().await;
             }
-            Script::Then(..) | Script::Silent => {}
+            Script::Paced(..) | Script::Then(..) | Script::Silent => {}
         }
     }
 }
