Take the bounds of all messages from one table

Cause: each reader had a constant of its own for what it holds of a head or body, so nothing showed whether a reader had none.

Change: control/src/message_bounds.rs names each kind of message that an entry reads, with the bounds of its head and body; connections to targets and the store, probes, rejections, callers, admin endpoints and frames take theirs from it. No bound changes. The raw target of the tests can answer probes with any script.

Measured: entry/tests/endless_bytes, new: endless heads and bodies of probes and of the store, and on 100 connections of callers and admin ports, 36 rows, pass. The same rows passed on the code before, but for two whose wait was too short (the entry reads a slow body for up to 4 s before it calls again).

--- a/control/src/lib.rs
+++ b/control/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fairness;
 pub mod locality;
 pub mod membership;
+pub mod message_bounds;
 pub mod model;
 pub mod notice;
 pub mod rate_limit;
--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -10,6 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use lacewingmoor_control::message_bounds::{Message, MessageBounds};
 use lacewingmoor_platform::READY_PATH;
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::debug;
@@ -27,9 +28,8 @@
 /// Path of the status page, in JSON.
 const STATUS_PATH: &str = "/status";
 
-/// Maximum buffer size of a connection. Heads and responses are small, but hyper panics below
-/// 8 KiB.
-const BUFFER_BYTES_MAX: usize = 8 * 1024;
+/// Maximum buffer size of a connection. hyper panics below 8 KiB.
+const BUFFER_BYTES_MAX: usize = MessageBounds::of(Message::AdminRequest).head_bytes;
 
 /// Serves readiness, metrics and status on a listener.
 pub async fn serve(shared: Rc<SharedState>, listener: TcpListener, metrics: PrometheusHandle) {
--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -8,6 +8,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use lacewingmoor_control::message_bounds::MessageBounds;
 use lacewingmoor_control::shutdown::Phase;
 use slog::{debug, warn};
 use tokio::net::{TcpListener, TcpStream};
@@ -16,9 +17,6 @@
 use crate::request;
 use crate::shared_state::SharedState;
 
-/// Maximum size of a request head while no bundle is active.
-const HEAD_BYTES_DEFAULT: usize = 16 * 1024;
-
 /// Delay after a connection could not be accepted, for example because no file descriptors are left.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
@@ -89,9 +87,8 @@
         debug!(shared.log, "caller_lost"; "cause" => %error);
         return;
     }
-    let head_bytes_max = shared
-        .bundle()
-        .map_or(HEAD_BYTES_DEFAULT, |bundle| bundle.limits.head_bytes_max);
+    let bundle = shared.bundle();
+    let bounds = MessageBounds::of_request(bundle.as_ref().map(|bundle| &bundle.limits));
     let state = ConnectionState::new(shared.clone());
     let stream = CallerStream::new(stream, state.clone());
     let service = {
@@ -116,7 +113,7 @@
         // `CallerStream` limits this time.
         .header_read_timeout(None)
         // hyper panics below 8 KiB.
-        .max_buf_size(head_bytes_max.max(8 * 1024))
+        .max_buf_size(bounds.head_bytes.max(8 * 1024))
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(connection);
     let finishing = shared.wait_for_phase(Phase::Finishing);
--- a/entry/src/inbound.rs
+++ b/entry/src/inbound.rs
@@ -60,7 +60,7 @@
 /// too many bytes of other bodies.
 pub async fn read_body(
     mut body: Incoming,
-    bytes_max: u64,
+    bytes_max: usize,
     memory: &BodyMemory,
     limit: BodyBytes,
 ) -> Result<Bytes, LocalResponse> {
@@ -69,13 +69,11 @@
     }
     let too_large = LocalResponse::invalid(StatusCode::PAYLOAD_TOO_LARGE, "body too large");
     let no_memory = LocalResponse::not_run("no memory for the body", NO_MEMORY_RETRY_AFTER);
-    let announced = body.size_hint().lower();
+    let announced = usize::try_from(body.size_hint().lower()).unwrap_or(usize::MAX);
     if announced > bytes_max {
         discard(body).await;
         return Err(too_large);
     }
-    let bytes_max = usize::try_from(bytes_max).unwrap_or(usize::MAX);
-    let announced = usize::try_from(announced).unwrap_or(usize::MAX);
     let mut buffer = memory.buffer(announced, limit);
     if !buffer.fits() {
         discard(body).await;
--- a/entry/src/peer_protocol.rs
+++ b/entry/src/peer_protocol.rs
@@ -9,6 +9,7 @@
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use lacewingmoor_control::counts::CountsUpdate;
+use lacewingmoor_control::message_bounds::{Message as BoundedMessage, MessageBounds};
 use lacewingmoor_control::model::Revision;
 use lacewingmoor_control::replica::Update;
 use lacewingmoor_control::source::SourceHealth;
@@ -19,20 +20,19 @@
 /// Interval at which a source sends its status.
 pub const STATUS_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Maximum length of a frame. An update may contain a bundle of up to 1 MB and all registrations.
-const FRAME_BYTES_MAX: u32 = 8 << 20;
+/// Maximum length of a frame.
+const FRAME_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::SourceFrame).body_bytes;
 
-/// Maximum length of a report of a follower. Counts of 75 workspaces take 2 KB, those of a rollout with
-/// 100 targets on 20 routes 80 KB.
-const REPORT_BYTES_MAX: u32 = 512 << 10;
+/// Maximum length of a report of a follower.
+const REPORT_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::Report).body_bytes;
 
 /// Version of the extensions that this entry writes.
 pub const EXTENSION_VERSION: u32 = 1;
 
 /// Encoding of messages. Without the limit, a frame of a few bytes that claims to contain a longer
 /// string than there is memory would abort the process.
-const ENCODING: Configuration<LittleEndian, Varint, Limit<{ FRAME_BYTES_MAX as usize }>> =
-    bincode::config::standard().with_limit::<{ FRAME_BYTES_MAX as usize }>();
+const ENCODING: Configuration<LittleEndian, Varint, Limit<FRAME_BYTES_MAX>> =
+    bincode::config::standard().with_limit::<FRAME_BYTES_MAX>();
 
 /// First and only message of a follower.
 #[wire]
@@ -210,15 +210,16 @@
 
 async fn read_frame(
     stream: &mut (impl AsyncRead + Unpin),
-    bytes_max: u32,
+    bytes_max: usize,
 ) -> Result<Vec<u8>, Error> {
     let length = stream.read_u32().await.map_err(|e| Error::Io("read", e))?;
+    let length = length as usize;
     if length > bytes_max {
         return Err(Error::Malformed(format!(
             "length of {length} bytes exceeds {bytes_max}"
         )));
     }
-    let mut bytes = vec![0; length as usize];
+    let mut bytes = vec![0; length];
     stream
         .read_exact(&mut bytes)
         .await
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt as _, Limited};
 use lacewingmoor_bundle::Service;
 use lacewingmoor_control::Timestamp;
+use lacewingmoor_control::message_bounds::{Message, MessageBounds};
 use lacewingmoor_control::model::Target;
 use lacewingmoor_control::rate_limit::ResponseKind;
 use lacewingmoor_control::stats::LoadReport;
@@ -25,7 +26,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Size in bytes up to which the body of a health response is accepted.
-const BODY_BYTES_MAX: usize = 16 * 1024;
+const BODY_BYTES_MAX: usize = MessageBounds::of(Message::ProbeResponse).body_bytes;
 
 /// Result of a probe to which the target responded.
 pub struct ProbeResult {
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -15,6 +15,7 @@
 use lacewingmoor_control::attempt::{Attempts, FailureAction, Outcome, hedge_at};
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget, RetryReason};
 use lacewingmoor_control::locality::{LeaveShares, Place, Reason};
+use lacewingmoor_control::message_bounds::MessageBounds;
 use lacewingmoor_control::model::{TargetId, ZoneName};
 use lacewingmoor_control::selection::Estimate;
 use lacewingmoor_control::selection::ServiceTime;
@@ -256,7 +257,7 @@
         stage: &Cell<Stage>,
     ) -> Result<Response<ResponseBody>, LocalResponse> {
         let (route, service) = (plan.route(), plan.service());
-        let bytes_max = plan.bundle.limits.body_bytes_max;
+        let bytes_max = MessageBounds::of_request(Some(&plan.bundle.limits)).body_bytes;
         let limit = self.shared.reloadable().bounds.body_bytes();
         let body = read_body(body, bytes_max, &self.shared.body_memory, limit).await?;
         stage.set(Stage::Serving);
--- a/entry/src/store_client.rs
+++ b/entry/src/store_client.rs
@@ -8,6 +8,7 @@
 use http::{Request, StatusCode};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
+use lacewingmoor_control::message_bounds::{Message, MessageBounds};
 use lacewingmoor_control::model::Era;
 use lacewingmoor_platform::store;
 use metrics::counter;
@@ -28,8 +29,8 @@
 /// Timeout for a whole body: several times what the longest one takes at 10 Mbit/s.
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Maximum length of a response body. A page has at most about 1 MB.
-const BODY_BYTES_MAX: usize = 4 << 20;
+/// Maximum length of a response body.
+const BODY_BYTES_MAX: usize = MessageBounds::of(Message::StoreResponse).body_bytes;
 
 quick_error! {
     /// Why a call failed.
--- /dev/null
+++ b/entry/tests/endless_bytes.rs
@@ -0,0 +1,195 @@
+//! Guards against memory that fills up because another process sends bytes without end: a target, the
+//! store, another entry, or callers. `untrusted_targets` has the responses of targets to requests.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use common::{expect_response, fleet, fleet_with_raw_target, lanes, peak_memory_kb, read, until};
+use http::StatusCode;
+use lacewingmoor_standin::entry::EntryProcess;
+use lacewingmoor_standin::raw_target::{RawTarget, Script};
+use rstest::rstest;
+use tokio::io::AsyncWriteExt as _;
+use tokio::net::TcpStream;
+
+/// Memory that an entry may use for all but bodies of requests and responses: six tenths of that of the
+/// smallest VM, which has 112 MB.
+const MEMORY_MAX_KB: u64 = 67 * 1000;
+
+/// Time for which the bytes come.
+const DURATION: Duration = Duration::from_secs(3);
+
+/// Bytes that a kind of sender repeats until its connection is closed.
+const PART_BYTES: usize = 16 * 1024;
+
+fn check_memory(fleet: &lacewingmoor_standin::fleet::Fleet) {
+    let peak_kb = peak_memory_kb(fleet);
+    let log = fleet.entries[0].log_text();
+    let last = &log[log.len().saturating_sub(2000)..];
+    assert!(peak_kb <= MEMORY_MAX_KB, "peak of {peak_kb} KB\n{last}");
+    assert!(!log.contains("panicked"), "{last}");
+}
+
+#[rstest]
+#[case::head_line("HTTP/1.1 200 OK\r\nX-Long: ", "a")]
+#[case::head_lines("HTTP/1.1 200 OK\r\n", "X-More: aaaaaaaaaaaaaaaaaaaaaaa\r\n")]
+#[case::no_protocol("", "no response at all, and without end. ")]
+#[case::empty_lines("", "\r\n")]
+#[case::interim_responses("", "HTTP/1.1 103 Early Hints\r\n\r\n")]
+#[case::body("HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n", "a")]
+#[case::body_to_the_end("HTTP/1.1 200 OK\r\n\r\n", "a")]
+#[case::chunks("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "2\r\naa\r\n")]
+#[case::chunk_extension("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4", ";aaaaaaa")]
+#[case::trailers(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+    "X-More: aaaaaaaaaaaaaaaaaaaaaaa\r\n"
+)]
+#[case::failure(
+    "HTTP/1.1 500 Failed\r\nTransfer-Encoding: chunked\r\n\r\n",
+    "2\r\naa\r\n"
+)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn endless_response_to_a_probe_or_of_the_store_is_cut_off(
+    #[case] start: &str,
+    #[case] repeated: &str,
+    #[values(false, true)] is_store: bool,
+) {
+    let repeated: &'static str = repeated.repeat(PART_BYTES / repeated.len()).leak();
+    let script = Script::Endless(start.to_owned(), repeated);
+    if is_store {
+        let store = RawTarget::start(([127, 0, 0, 1], 0).into(), "store", script).await;
+        let store = store.expect("the store starts");
+        let mut fleet = fleet(&lanes(), 0).await;
+        fleet
+            .start_entry("entry-0", "north-a", store.addr(), Vec::new())
+            .expect("the entry starts");
+        tokio::time::sleep(DURATION).await;
+        until("the entry calls again", async || store.request_count() > 1).await;
+        check_memory(&fleet);
+        return;
+    }
+    let (fleet, target) = fleet_with_raw_target(Script::Once(String::new())).await;
+    target.set_probe_script(Some(script));
+    let ends_at = Instant::now() + DURATION;
+    while Instant::now() < ends_at {
+        let response = expect_response(&fleet.entries[0], &read("r-1")).await;
+        assert!(!response.status.is_success(), "{}", response.status);
+    }
+    check_memory(&fleet);
+}
+
+/// A port of an entry that others connect to.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum Port {
+    Callers,
+    Ready,
+    Metrics,
+    Peers,
+}
+
+impl Port {
+    fn addr(self, entry: &EntryProcess) -> SocketAddr {
+        match self {
+            Port::Callers => entry.caller_addr,
+            Port::Ready => entry.ready_addr,
+            Port::Metrics => entry.metrics_addr,
+            Port::Peers => entry.peer_addr,
+        }
+    }
+}
+
+/// Bytes that arrive on many connections at the same time.
+struct Inbound {
+    port: Port,
+    connections: usize,
+    start: Vec<u8>,
+    repeated: Vec<u8>,
+}
+
+impl Inbound {
+    fn text(port: Port, start: &str, repeated: &str) -> Self {
+        Self {
+            port,
+            connections: 100,
+            start: start.as_bytes().to_vec(),
+            repeated: repeated.as_bytes().to_vec(),
+        }
+    }
+
+    async fn send(port: SocketAddr, start: Vec<u8>, repeated: Vec<u8>, ends_at: Instant) {
+        let Ok(mut stream) = TcpStream::connect(port).await else {
+            return;
+        };
+        let send = async {
+            stream.write_all(&start).await?;
+            loop {
+                stream.write_all(&repeated).await?;
+            }
+        };
+        // The connection ends when the entry closes it, or after the time.
+        let _: Result<std::io::Result<()>, _> = tokio::time::timeout_at(ends_at.into(), send).await;
+    }
+}
+
+const REQUEST: &str = "POST /lanes/write/1 HTTP/1.1\r\nHost: pool.example\r\n";
+
+#[rstest]
+#[case::request_line(Inbound::text(Port::Callers, "GET /", "a"))]
+#[case::head_line(Inbound::text(Port::Callers, "GET / HTTP/1.1\r\nX-Long: ", "a"))]
+#[case::head_lines(Inbound::text(Port::Callers, "GET / HTTP/1.1\r\n", "X-More: aaaaaaaaa\r\n"))]
+#[case::no_protocol(Inbound::text(Port::Callers, "", "no request at all. "))]
+#[case::empty_lines(Inbound::text(Port::Callers, "", "\r\n"))]
+#[case::chunks(Inbound::text(Port::Callers, &format!("{REQUEST}Transfer-Encoding: chunked\r\n\r\n"), "2\r\naa\r\n"))]
+#[case::chunk_extension(Inbound::text(Port::Callers, &format!("{REQUEST}Transfer-Encoding: chunked\r\n\r\n4"), ";aaaaaaa"))]
+#[case::trailers(Inbound::text(Port::Callers, &format!("{REQUEST}Transfer-Encoding: chunked\r\n\r\n0\r\n"), "X-More: aaaaaaaaa\r\n"))]
+#[case::requests_without_reading(Inbound::text(
+    Port::Callers,
+    "",
+    "GET /lanes/read/1 HTTP/1.1\r\nHost: pool.example\r\n\r\n"
+))]
+#[case::ready_head(Inbound::text(Port::Ready, "GET / HTTP/1.1\r\n", "X-More: aaaaaaaaa\r\n"))]
+#[case::ready_body(Inbound::text(
+    Port::Ready,
+    "POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n",
+    "a"
+))]
+#[case::ready_requests_without_reading(Inbound::text(
+    Port::Ready,
+    "",
+    "GET /ready HTTP/1.1\r\nHost: x\r\n\r\n"
+))]
+#[case::metrics_requests_without_reading(Inbound::text(
+    Port::Metrics,
+    "",
+    "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
+))]
+#[case::peer_no_protocol(Inbound::text(Port::Peers, "", "no frame at all. "))]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_bytes_on_many_connections_use_little_memory(#[case] case: Inbound) {
+    check_inbound(case).await;
+}
+
+async fn check_inbound(case: Inbound) {
+    let fleet = fleet(&lanes(), 1).await;
+    let addr = case.port.addr(&fleet.entries[0]);
+    let ends_at = Instant::now() + DURATION;
+    let repeated = case
+        .repeated
+        .repeat((PART_BYTES / case.repeated.len()).max(1));
+    let senders = (0..case.connections).map(|_| {
+        tokio::spawn(Inbound::send(
+            addr,
+            case.start.clone(),
+            repeated.clone(),
+            ends_at,
+        ))
+    });
+    for sender in senders.collect::<Vec<_>>() {
+        sender.await.expect("the sender does not panic");
+    }
+    check_memory(&fleet);
+    let response = expect_response(&fleet.entries[0], &read("r-1")).await;
+    assert_eq!(response.status, StatusCode::OK);
+}
--- a/entry/tests/invalid_status.rs
+++ b/entry/tests/invalid_status.rs
@@ -206,7 +206,7 @@
     #[case] expected_log: &str,
 ) {
     let (fleet, target) = fleet_with_raw_target(Script::Once(success())).await;
-    target.set_probe_response(Some(bytes));
+    target.set_probe_script(Some(Script::Once(bytes)));
     let response = expect_response(&fleet.entries[0], &once("r-1")).await;
     let log = fleet.entries[0].log_text();
     assert_eq!(response.status.as_u16(), 503, "{log}");
@@ -217,7 +217,7 @@
         expected_log.is_empty() || lines.any(|line| line.contains(expected_log))
     })
     .await;
-    target.set_probe_response(None);
+    target.set_probe_script(None);
     until("the target is used again", async || {
         let response = expect_response(&fleet.entries[0], &once("r-2")).await;
         response.status.as_u16() == 200
--- a/standin/src/raw_target.rs
+++ b/standin/src/raw_target.rs
@@ -50,8 +50,8 @@
 struct Shared {
     script: Mutex<Script>,
     load: Mutex<&'static str>,
-    /// Bytes that probes get instead of a valid response.
-    probe_response: Mutex<Option<String>>,
+    /// What probes get instead of a valid response.
+    probe_script: Mutex<Option<Script>>,
     request_count: AtomicU64,
     open_requests: AtomicU64,
 }
@@ -74,7 +74,7 @@
         let shared = Arc::new(Shared {
             script: Mutex::new(script),
             load: Mutex::new("0,0,4,100"),
-            probe_response: Mutex::default(),
+            probe_script: Mutex::default(),
             request_count: AtomicU64::new(0),
             open_requests: AtomicU64::new(0),
         });
@@ -132,13 +132,13 @@
         *self.shared.script.lock().expect(NO_PANIC) = script;
     }
 
-    /// Sets the bytes that probes get instead of a valid response.
+    /// Sets what probes get instead of a valid response.
     ///
     /// # Panics
     ///
-    /// Panics if a connection task panicked while it read them.
-    pub fn set_probe_response(&self, bytes: Option<String>) {
-        *self.shared.probe_response.lock().expect(NO_PANIC) = bytes;
+    /// Panics if a connection task panicked while it read the script.
+    pub fn set_probe_script(&self, script: Option<Script>) {
+        *self.shared.probe_script.lock().expect(NO_PANIC) = script;
     }
 
     /// Sets the load that the target reports to probes, in the form of the header field; none if it is
@@ -187,83 +187,103 @@
     }
 }
 
+/// What a connection still has to send, of the scripts that it has followed.
+#[derive(Default)]
+struct Copies {
+    /// Before the response to the next request or probe.
+    second: Option<String>,
+    /// Before the response to the next request.
+    late: Option<String>,
+}
+
 async fn serve(mut stream: TcpStream, id: &str, shared: &Shared) -> io::Result<()> {
-    let mut second_copy = None;
-    let mut late_copy: Option<String> = None;
+    let mut copies = Copies::default();
     let mut _open_request = None;
     loop {
         let head = read_head(&mut stream).await?;
-        if let Some(copy) = second_copy.take() {
-            let copy: String = copy;
+        if let Some(copy) = copies.second.take() {
             stream.write_all(copy.as_bytes()).await?;
         }
         let is_silent = matches!(*shared.script.lock().expect(NO_PANIC), Script::Silent);
-        if head.starts_with(&format!("GET {HEALTH_PATH} ")) {
-            if is_silent {
-                continue;
+        let script = if !head.starts_with(&format!("GET {HEALTH_PATH} ")) {
+            _open_request = Some(OpenRequest::new(shared));
+            if let Some(copy) = copies.late.take() {
+                stream.write_all(copy.as_bytes()).await?;
             }
-            let probe_response = shared.probe_response.lock().expect(NO_PANIC).clone();
-            if let Some(bytes) = probe_response {
-                stream.write_all(bytes.as_bytes()).await?;
-                continue;
-            }
-            let load = match *shared.load.lock().expect(NO_PANIC) {
-                "" => String::new(),
-                load => format!("{}: {load}\r\n", headers::SERVER_LOAD),
-            };
-            let response = format!(
-                "HTTP/1.1 200 OK\r\n{}: {id}\r\n{load}Content-Length: 0\r\n\r\n",
-                headers::INSTANCE_ID,
-            );
-            stream.write_all(response.as_bytes()).await?;
-            continue;
+            next_script(shared)
+        } else if is_silent {
+            Script::Silent
+        } else {
+            let probe_script = shared.probe_script.lock().expect(NO_PANIC).clone();
+            probe_script.unwrap_or_else(|| Script::Once(health_response(id, shared)))
+        };
+        if !follow(&mut stream, script, request_id(&head), &mut copies).await? {
+            return Ok(());
         }
-        _open_request = Some(OpenRequest::new(shared));
-        if let Some(copy) = late_copy.take() {
-            stream.write_all(copy.as_bytes()).await?;
+    }
+}
+
+fn health_response(id: &str, shared: &Shared) -> String {
+    let load = match *shared.load.lock().expect(NO_PANIC) {
+        "" => String::new(),
+        load => format!("{}: {load}\r\n", headers::SERVER_LOAD),
+    };
+    format!(
+        "HTTP/1.1 200 OK\r\n{}: {id}\r\n{load}Content-Length: 0\r\n\r\n",
+        headers::INSTANCE_ID,
+    )
+}
+
+/// Sends what the script says in response to the request with this id. Returns false if the connection ends
+/// then.
+async fn follow(
+    stream: &mut TcpStream,
+    mut script: Script,
+    request_id: &str,
+    copies: &mut Copies,
+) -> io::Result<bool> {
+    let fill_in = |text: &str| text.replace("{id}", request_id);
+    while let Script::Paced(parts, rest) = script {
+        for (pause, text) in parts {
+            tokio::time::sleep(pause).await;
+            stream.write_all(fill_in(&text).as_bytes()).await?;
         }
-        let fill_in = |text: &str| text.replace("{id}", request_id(&head));
-        let mut script = next_script(shared);
-        while let Script::Paced(parts, rest) = script {
-            for (pause, text) in parts {
-                tokio::time::sleep(pause).await;
-                stream.write_all(fill_in(&text).as_bytes()).await?;
-            }
-            script = *rest;
+        script = *rest;
+    }
+    match script {
+        Script::Once(text) => stream.write_all(fill_in(&text).as_bytes()).await?,
+        Script::SecondCopy(text) => {
+            let text = fill_in(&text);
+            stream.write_all(text.as_bytes()).await?;
+            copies.second = Some(text);
         }
-        match script {
-            Script::Once(text) => stream.write_all(fill_in(&text).as_bytes()).await?,
-            Script::SecondCopy(text) => {
-                let text = fill_in(&text);
-                stream.write_all(text.as_bytes()).await?;
-                second_copy = Some(text);
-            }
-            Script::Endless(text, repeated) => {
-                stream.write_all(fill_in(&text).as_bytes()).await?;
-                loop {
-                    stream.write_all(repeated.as_bytes()).await?;
-                    tokio::time::sleep(REPEAT_PAUSE).await;
-                }
-            }
-            Script::LateCopy(text) => {
-                let text = fill_in(&text);
-                stream.write_all(text.as_bytes()).await?;
-                late_copy = Some(text);
-            }
-            Script::Reset(text) => {
-                stream.write_all(fill_in(&text).as_bytes()).await?;
-                // What has been sent before is read first.
-                tokio::time::sleep(RESET_DELAY).await;
-                stream.set_zero_linger()?;
-                return Ok(());
+        Script::Endless(text, repeated) => {
+            stream.write_all(fill_in(&text).as_bytes()).await?;
+            loop {
+                stream.write_all(repeated.as_bytes()).await?;
+                tokio::time::sleep(REPEAT_PAUSE).await;
             }
-            Script::Close(text) => {
-                stream.write_all(fill_in(&text).as_bytes()).await?;
-                return stream.shutdown().await;
-            }
-            Script::Paced(..) | Script::Then(..) | Script::Silent => {}
         }
+        Script::LateCopy(text) => {
+            let text = fill_in(&text);
+            stream.write_all(text.as_bytes()).await?;
+            copies.late = Some(text);
+        }
+        Script::Reset(text) => {
+            stream.write_all(fill_in(&text).as_bytes()).await?;
+            // What has been sent before is read first.
+            tokio::time::sleep(RESET_DELAY).await;
+            stream.set_zero_linger()?;
+            return Ok(false);
+        }
+        Script::Close(text) => {
+            stream.write_all(fill_in(&text).as_bytes()).await?;
+            stream.shutdown().await?;
+            return Ok(false);
+        }
+        Script::Paced(..) | Script::Then(..) | Script::Silent => {}
     }
+    Ok(true)
 }
 
 /// Reads a request without a body up to the end of its head.
