Give up a listing of the store that has no last page

What callers saw: nothing yet; an entry whose store answers each page with "more" fills its memory, and ends with all its requests.

Cause: the records of all pages were kept until the last one came. Each page was bounded, the listing was not, and a page did not have to get beyond the one before.

A page that says that more keys follow must end beyond the page before. Otherwise the listing fails and the entry turns to its next source.

--- a/entry/src/store_client.rs
+++ b/entry/src/store_client.rs
@@ -32,6 +32,9 @@
 /// Maximum length of a response body.
 const BODY_BYTES_MAX: usize = MessageBounds::of(Message::StoreResponse).body_bytes;
 
+/// Maximum length of the records of a listing.
+pub const LISTING_BYTES_MAX: usize = MessageBounds::of(Message::Listing).body_bytes;
+
 quick_error! {
     /// Why a call failed.
     #[derive(Debug)]
@@ -50,6 +53,14 @@
         TooLong {
             display("store: response body has more than {BODY_BYTES_MAX} bytes")
         }
+        /// A page of a listing says that more keys follow, but does not get beyond the page before.
+        NoProgress {
+            display("store: listing does not advance from page to page")
+        }
+        /// The records of a listing are longer than [`LISTING_BYTES_MAX`].
+        ListingTooLong {
+            display("store: listing has more than {LISTING_BYTES_MAX} bytes")
+        }
         /// The store has another era than the revision that the call refers to.
         OtherEra(era: Era, known: Era) {
             display("store: era {era} instead of {known}")
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -17,7 +17,7 @@
 use slog::{info, warn};
 
 use crate::shared_state::SharedState;
-use crate::store_client::{Client, Error as StoreError, Reply};
+use crate::store_client::{Client, Error as StoreError, LISTING_BYTES_MAX, Reply};
 use crate::{peer, peer_protocol, rollout};
 
 /// Time that a watch waits for changes, as a share of the deadline for applying changes. A store
@@ -361,6 +361,7 @@
     let known = shared.replica.borrow().revision();
     let mut first_era = None;
     let mut records = Vec::new();
+    let mut record_bytes = 0;
     let mut revision = None;
     let mut after: Option<String> = None;
     loop {
@@ -388,8 +389,17 @@
             },
         };
         revision = Some(revision.map_or(page_revision, |r: Revision| r.min(page_revision)));
-        after = page.records.last().map(|record| record.key.clone());
-        records.extend(usable(shared, page.records));
+        let last_key = page.records.last().map(|record| record.key.clone());
+        if page.has_more && last_key <= after {
+            return Err(StoreError::NoProgress);
+        }
+        after = last_key;
+        let page_records = usable(shared, page.records);
+        record_bytes += page_records.iter().map(length_of).sum::<usize>();
+        if record_bytes > LISTING_BYTES_MAX {
+            return Err(StoreError::ListingTooLong);
+        }
+        records.extend(page_records);
         if !page.has_more {
             break;
         }
@@ -406,6 +416,10 @@
     Ok((requested_at, update))
 }
 
+fn length_of(record: &Record) -> usize {
+    record.key.len() + record.value.as_ref().map_or(0, Vec::len)
+}
+
 fn newest_revision(records: &[Record]) -> Revision {
     records.iter().map(|r| r.revision).max().unwrap_or_default()
 }
--- a/entry/tests/endless_bytes.rs
+++ b/entry/tests/endless_bytes.rs
@@ -8,6 +8,8 @@
 
 use common::{expect_response, fleet, fleet_with_raw_target, lanes, peak_memory_kb, read, until};
 use http::StatusCode;
+use lacewingmoor_control::model::{Record, Revision};
+use lacewingmoor_platform::server::encode_page;
 use lacewingmoor_standin::entry::EntryProcess;
 use lacewingmoor_standin::raw_target::{RawTarget, Script};
 use rstest::rstest;
@@ -80,6 +82,61 @@
     check_memory(&fleet);
 }
 
+/// A listing of which each page says that more keys follow.
+struct Listing {
+    /// Pages that the store returns in turn; the last one from then on.
+    pages: usize,
+    keys_per_page: usize,
+    /// Part of the log line.
+    log: &'static str,
+}
+
+impl Listing {
+    fn page(&self, page: usize) -> Script {
+        let records: Vec<Record> = (0..self.keys_per_page)
+            .map(|i| Record {
+                key: format!("servers/i-{page:03}-{i:03}"),
+                revision: Revision { era: 1, number: 1 },
+                value: Some(vec![b'a'; 1500]),
+            })
+            .collect();
+        let body = String::from_utf8(encode_page(&records, true, 1)).expect("JSON");
+        let length = body.len();
+        Script::Once(format!(
+            "HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\r\n{body}"
+        ))
+    }
+
+    fn script(&self) -> Script {
+        let last = self.page(self.pages - 1);
+        (0..self.pages - 1).rev().fold(last, |rest, page| {
+            Script::Then(Box::new(self.page(page)), Box::new(rest))
+        })
+    }
+}
+
+/// An entry kept all pages of a listing whose last one never came.
+#[rstest]
+#[case::same_page(Listing { pages: 1, keys_per_page: 500, log: "listing does not advance" })]
+#[case::empty_page(Listing { pages: 1, keys_per_page: 0, log: "listing does not advance" })]
+#[case::more_keys_each_time(Listing { pages: 20, keys_per_page: 500, log: "listing has more than" })]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn listing_without_a_last_page_is_given_up(#[case] listing: Listing) {
+    let addr = ([127, 0, 0, 1], 0).into();
+    let store = RawTarget::start(addr, "store", listing.script()).await;
+    let store = store.expect("the store starts");
+    let mut fleet = fleet(&lanes(), 0).await;
+    fleet
+        .start_entry("entry-0", "north-a", store.addr(), Vec::new())
+        .expect("the entry starts");
+    tokio::time::sleep(DURATION).await;
+    check_memory(&fleet);
+    until("the entry says why it gives up", async || {
+        fleet.entries[0].log_text().contains(listing.log)
+    })
+    .await;
+}
+
 /// A port of an entry that others connect to.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum Port {
