Bound the memory for frames of followers

What callers saw: nothing yet; an entry that gets long frames on many connections fills its memory, and ends with all its requests.

A report could stay incomplete for as long as its connection.

Measured: of entry/tests/endless_bytes, peer_first_frame (peak of 183 MB) and report (131 MB) fail without the change, 67 MB allowed, and pass with it. Tests peer_protocol, workspace_limits and rollout pass.

--- a/control/src/bounds.rs
+++ b/control/src/bounds.rs
@@ -19,6 +19,13 @@
 /// Bytes for bodies if the memory of the VM is not known.
 const BODY_BYTES_DEFAULT: usize = 96 << 20;
 
+/// Share of the VM's memory for frames of followers that are coming in. On the smallest VMs it has room for
+/// 140 reports of 80 KB.
+const FRAME_SHARE: f64 = 0.1;
+
+/// Bytes for such frames if the memory of the VM is not known.
+const FRAME_BYTES_DEFAULT: usize = 16 << 20;
+
 /// Length up to which a body counts as small.
 const SMALL_BODY_BYTES_MAX: usize = 16 * 1024;
 
@@ -109,13 +116,25 @@
 impl Bounds {
     /// Returns how many bytes of bodies an entry may hold.
     pub fn body_bytes(&self) -> BodyBytes {
-        let share = |share: f64| match self.memory_bytes {
-            Some(memory_bytes) => (memory_bytes as f64 * share) as usize,
-            None => BODY_BYTES_DEFAULT,
-        };
         BodyBytes {
-            max: share(BODY_SHARE),
-            max_with_single: share(SINGLE_BODY_SHARE),
+            max: self.share_of_memory(BODY_SHARE, BODY_BYTES_DEFAULT),
+            max_with_single: self.share_of_memory(SINGLE_BODY_SHARE, BODY_BYTES_DEFAULT),
+        }
+    }
+
+    /// Returns how many bytes an entry may hold of frames of followers that are coming in.
+    pub fn frame_bytes(&self) -> BodyBytes {
+        let max = self.share_of_memory(FRAME_SHARE, FRAME_BYTES_DEFAULT);
+        BodyBytes {
+            max,
+            max_with_single: max,
+        }
+    }
+
+    fn share_of_memory(&self, share: f64, default: usize) -> usize {
+        match self.memory_bytes {
+            Some(memory_bytes) => (memory_bytes as f64 * share) as usize,
+            None => default,
         }
     }
 }
--- a/control/tests/body_bytes.rs
+++ b/control/tests/body_bytes.rs
@@ -26,6 +26,21 @@
     assert_eq!(bounds.body_bytes(), expected);
 }
 
+#[rstest]
+#[case::smallest(Some(112), 11_200_000)]
+#[case::largest(Some(512), 51_200_000)]
+#[case::unknown(None, 16 * MIB)]
+fn frame_bytes_are_a_share_of_the_memory(#[case] memory_mb: Option<u64>, #[case] max: usize) {
+    let bounds = Bounds {
+        memory_bytes: memory_mb.map(|mb| mb * MB as u64),
+        ..Bounds::default()
+    };
+    let limit = bounds.frame_bytes();
+    assert!(limit.allows(max - 100_000, 100_000));
+    assert!(!limit.allows(max - 100_000, 100_001));
+    assert!(!limit.allows(0, max + 1), "not even a single one");
+}
+
 #[rstest]
 #[case::many_uploads(44 * MB, 360_000, true)]
 #[case::one_upload_too_many(44_700_000, 360_000, false)]
--- a/entry/src/counts.rs
+++ b/entry/src/counts.rs
@@ -98,7 +98,9 @@
     /// Receives reports until that fails, and returns why. An entry of an earlier version sends none.
     pub async fn receive(&self, mut reader: OwnedReadHalf) -> Error {
         loop {
-            let report = match peer_protocol::read_report(&mut reader).await {
+            let limit = self.shared.reloadable().bounds.frame_bytes();
+            let memory = &self.shared.frame_memory;
+            let report = match peer_protocol::read_report(&mut reader, memory, limit).await {
                 Ok(report) => report,
                 Err(error) => return error,
             };
--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -186,7 +186,7 @@
                 let shared = shared.clone();
                 tokio::task::spawn_local(async move {
                     match serve_follower(&shared, stream).await {
-                        Err(error @ Error::Malformed(_)) => {
+                        Err(error @ (Error::Malformed(_) | Error::NoMemory)) => {
                             warn!(shared.log, "follower_rejected"; "cause" => %error);
                         }
                         Err(error) => debug!(shared.log, "follower_lost"; "cause" => %error),
@@ -256,11 +256,10 @@
     stream
         .set_nodelay(true)
         .map_err(|e| Error::Io("accept", e))?;
-    let subscribe = peer_protocol::read_extended(&mut stream);
-    let (subscribe, extension): (Subscribe, Option<SubscribeExtension>) =
-        tokio::time::timeout(MESSAGE_TIMEOUT, subscribe)
-            .await
-            .map_err(|_| Error::Timeout("subscribe"))??;
+    let subscription = peer_protocol::read_subscription(&mut stream);
+    let (subscribe, extension) = tokio::time::timeout(MESSAGE_TIMEOUT, subscription)
+        .await
+        .map_err(|_| Error::Timeout("subscribe"))??;
     let counts_only = extension.is_some_and(|extension| extension.counts_only);
     let counts_connection = CountsConnection::new(shared, subscribe.entry.as_str().into());
     let (reader, writer) = stream.into_split();
--- a/entry/src/peer_protocol.rs
+++ b/entry/src/peer_protocol.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
+use lacewingmoor_control::bounds::BodyBytes;
 use lacewingmoor_control::counts::CountsUpdate;
 use lacewingmoor_control::message_bounds::{Message as BoundedMessage, MessageBounds};
 use lacewingmoor_control::model::Revision;
@@ -17,15 +18,26 @@
 use quick_error::quick_error;
 use tokio::io::{AsyncRead, AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 
+use crate::body_memory::BodyMemory;
+
 /// Interval at which a source sends its status.
 pub const STATUS_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Maximum length of a frame.
 const FRAME_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::SourceFrame).body_bytes;
 
+/// Maximum length of the first frame of a follower.
+const SUBSCRIPTION_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::Subscription).body_bytes;
+
 /// Maximum length of a report of a follower.
 const REPORT_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::Report).body_bytes;
 
+/// Time within which a report must be complete after its length. An entry writes a frame within this time.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Steps in which a report is read.
+const READ_STEP_BYTES: usize = 4 << 10;
+
 /// Version of the extensions that this entry writes.
 pub const EXTENSION_VERSION: u32 = 1;
 
@@ -121,6 +133,10 @@
         Malformed(cause: String) {
             display("malformed frame: {cause}")
         }
+        /// There is no memory for a frame.
+        NoMemory {
+            display("no memory for the frame")
+        }
         /// The source's data is too old, or it has been searching for a source for too long.
         Stale(health: SourceHealth) {
             display("source is stale: confirmed {} ms ago, searching for {} ms",
@@ -189,36 +205,57 @@
 pub async fn read_extended<T: bincode::Decode<()>, E: bincode::Decode<()>>(
     stream: &mut (impl AsyncRead + Unpin),
 ) -> Result<(T, Option<E>), Error> {
-    let bytes = read_frame(stream, FRAME_BYTES_MAX).await?;
-    let (message, length) = decode(&bytes)?;
-    let extension = match &bytes[length..] {
-        [] => None,
-        rest => Some(decode(rest)?.0),
-    };
-    Ok((message, extension))
+    decode_extended(&read_frame(stream, FRAME_BYTES_MAX).await?)
 }
 
-/// Reads a report of a follower.
+/// Reads the first message of a follower, with its extension if there is one.
 ///
 /// # Errors
 ///
 /// Returns an error if the connection fails or ends, or if the frame is too long or malformed.
-pub async fn read_report(stream: &mut (impl AsyncRead + Unpin)) -> Result<Report, Error> {
-    let bytes = read_frame(stream, REPORT_BYTES_MAX).await?;
-    decode(&bytes).map(|(report, _)| report)
+pub async fn read_subscription(
+    stream: &mut (impl AsyncRead + Unpin),
+) -> Result<(Subscribe, Option<SubscribeExtension>), Error> {
+    decode_extended(&read_frame(stream, SUBSCRIPTION_BYTES_MAX).await?)
+}
+
+/// Reads a report of a follower into `memory`, which the reports of all followers share.
+///
+/// # Errors
+///
+/// Returns an error if the connection fails or ends, if the frame is too long, malformed or not complete in
+/// time, or if there is no memory for it.
+pub async fn read_report(
+    stream: &mut (impl AsyncRead + Unpin),
+    memory: &BodyMemory,
+    limit: BodyBytes,
+) -> Result<Report, Error> {
+    let length = read_length(stream, REPORT_BYTES_MAX).await?;
+    let mut buffer = memory.buffer(length, limit);
+    let read = async {
+        let mut part = [0; READ_STEP_BYTES];
+        while buffer.len() < length {
+            let part = &mut part[..READ_STEP_BYTES.min(length - buffer.len())];
+            if !buffer.reserve(part.len()) {
+                return Err(Error::NoMemory);
+            }
+            let read = stream.read_exact(part).await;
+            read.map_err(|e| Error::Io("read", e))?;
+            buffer.append(part);
+        }
+        Ok(())
+    };
+    tokio::time::timeout(REPORT_TIMEOUT, read)
+        .await
+        .map_err(|_| Error::Timeout("report"))??;
+    decode(&buffer.freeze()).map(|(report, _)| report)
 }
 
 async fn read_frame(
     stream: &mut (impl AsyncRead + Unpin),
     bytes_max: usize,
 ) -> Result<Vec<u8>, Error> {
-    let length = stream.read_u32().await.map_err(|e| Error::Io("read", e))?;
-    let length = length as usize;
-    if length > bytes_max {
-        return Err(Error::Malformed(format!(
-            "length of {length} bytes exceeds {bytes_max}"
-        )));
-    }
+    let length = read_length(stream, bytes_max).await?;
     let mut bytes = vec![0; length];
     stream
         .read_exact(&mut bytes)
@@ -227,6 +264,30 @@
     Ok(bytes)
 }
 
+async fn read_length(
+    stream: &mut (impl AsyncRead + Unpin),
+    bytes_max: usize,
+) -> Result<usize, Error> {
+    let length = stream.read_u32().await.map_err(|e| Error::Io("read", e))? as usize;
+    match length > bytes_max {
+        true => Err(Error::Malformed(format!(
+            "length of {length} bytes exceeds {bytes_max}"
+        ))),
+        false => Ok(length),
+    }
+}
+
+fn decode_extended<T: bincode::Decode<()>, E: bincode::Decode<()>>(
+    bytes: &[u8],
+) -> Result<(T, Option<E>), Error> {
+    let (message, length) = decode(bytes)?;
+    let extension = match &bytes[length..] {
+        [] => None,
+        rest => Some(decode(rest)?.0),
+    };
+    Ok((message, extension))
+}
+
 fn decode<T: bincode::Decode<()>>(bytes: &[u8]) -> Result<(T, usize), Error> {
     bincode::decode_from_slice(bytes, ENCODING).map_err(|e| Error::Malformed(e.to_string()))
 }
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -116,6 +116,8 @@
     pub queue: Queue,
     /// Memory that the bodies of requests and responses take.
     pub body_memory: BodyMemory,
+    /// Memory that frames of followers take while they come in.
+    pub frame_memory: BodyMemory,
     /// Labels of workspaces in metrics.
     pub workspace_labels: RefCell<WorkspaceLabels>,
     /// When an entry with an old view last logged that it cannot judge a key.
@@ -180,6 +182,7 @@
             pool: Pool::default(),
             queue: Queue::default(),
             body_memory: BodyMemory::default(),
+            frame_memory: BodyMemory::default(),
             workspace_labels: RefCell::default(),
             unconfirmed_key_logged_at: Cell::default(),
             unknown_fields: RefCell::default(),
--- a/entry/tests/endless_bytes.rs
+++ b/entry/tests/endless_bytes.rs
@@ -12,6 +12,7 @@
 use lacewingmoor_platform::server::encode_page;
 use lacewingmoor_standin::entry::EntryProcess;
 use lacewingmoor_standin::raw_target::{RawTarget, Script};
+use lacewingmoord::peer_protocol::{self, Subscribe};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -175,6 +176,16 @@
         }
     }
 
+    /// Frames of entries that announce `length` bytes after the frames in `start`.
+    fn frame(start: Vec<u8>, length: u32, connections: usize) -> Self {
+        Self {
+            port: Port::Peers,
+            connections,
+            start: [start, length.to_be_bytes().to_vec()].concat(),
+            repeated: vec![0],
+        }
+    }
+
     async fn send(port: SocketAddr, start: Vec<u8>, repeated: Vec<u8>, ends_at: Instant) {
         let Ok(mut stream) = TcpStream::connect(port).await else {
             return;
@@ -190,6 +201,22 @@
     }
 }
 
+async fn encoded<T: bincode::Encode>(message: &T) -> Vec<u8> {
+    let mut frame = Vec::new();
+    let written = peer_protocol::write(&mut frame, message).await;
+    written.expect("the message is encoded");
+    frame
+}
+
+fn subscribe() -> Subscribe {
+    Subscribe {
+        entry: "follower".into(),
+        after: Revision::default(),
+        zone: "north-a".into(),
+        capacity: 1,
+    }
+}
+
 const REQUEST: &str = "POST /lanes/write/1 HTTP/1.1\r\nHost: pool.example\r\n";
 
 #[rstest]
@@ -223,11 +250,24 @@
     "GET /metrics HTTP/1.1\r\nHost: x\r\n\r\n"
 ))]
 #[case::peer_no_protocol(Inbound::text(Port::Peers, "", "no frame at all. "))]
+#[case::peer_first_frame(Inbound::frame(Vec::new(), 8 << 20, 30))]
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
 async fn endless_bytes_on_many_connections_use_little_memory(#[case] case: Inbound) {
     check_inbound(case).await;
 }
 
+#[rstest]
+#[case::report(512 << 10, 300)]
+#[case::longest_frame(8 << 20, 30)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn endless_reports_of_followers_use_little_memory(
+    #[case] length: u32,
+    #[case] connections: usize,
+) {
+    let start = encoded(&subscribe()).await;
+    check_inbound(Inbound::frame(start, length, connections)).await;
+}
+
 async fn check_inbound(case: Inbound) {
     let fleet = fleet(&lanes(), 1).await;
     let addr = case.port.addr(&fleet.entries[0]);
--- a/entry/tests/peer_protocol.rs
+++ b/entry/tests/peer_protocol.rs
@@ -7,10 +7,12 @@
 use std::time::Duration;
 
 use common::{EVENT_TIMEOUT, bundle_with_workspaces, fleet, lanes, until};
+use lacewingmoor_control::bounds::Bounds;
 use lacewingmoor_control::counts::{Counts, CountsUpdate};
 use lacewingmoor_control::model::{Record, Revision};
 use lacewingmoor_control::replica::Update;
 use lacewingmoor_standin::fleet::Fleet;
+use lacewingmoord::body_memory::BodyMemory;
 use lacewingmoord::peer_protocol::{
     self, EXTENSION_VERSION, Error, Message, Report, SourceStatus, StatusExtension, Subscribe,
     SubscribeExtension,
@@ -328,7 +330,8 @@
         }
     };
     let receive = tokio::time::timeout(Duration::from_secs(4), async {
-        peer_protocol::read_report(&mut reader)
+        let limit = Bounds::default().frame_bytes();
+        peer_protocol::read_report(&mut reader, &BodyMemory::default(), limit)
             .await
             .expect("a report")
     });
