Leave a source that sends no status

What callers saw: nothing yet; an entry without a bundle answers 503 for as long as its source sends frames and no status, although the store responds.

Cause: any message of a source counted as a sign of life, but only its status says who it is and how old its data is. A status without a name, which is another frame decoded as one, counted too.

Change: a status must come within twice the timeout of a message, and must have a name.

--- a/entry/src/peer.rs
+++ b/entry/src/peer.rs
@@ -28,6 +28,11 @@
 /// intervals.
 const MESSAGE_TIMEOUT: Duration = Duration::from_millis(900);
 
+/// Timeout for the next status of a source, which follows each of its updates.
+///
+/// Fault: a source sends frames without end, of which none is a status. Its age and path stay unknown.
+const STATUS_TIMEOUT: Duration = MESSAGE_TIMEOUT.saturating_mul(2);
+
 /// Timeout for writing a message to a follower.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -48,6 +53,7 @@
 ) -> Result<(), Error> {
     let (mut reader, writer) = subscribe(shared, addr, None).await?;
     let reporter = Reporter::default();
+    let mut status_due_at = shared.now() + STATUS_TIMEOUT;
     let receive = async {
         loop {
             match read_message(&mut reader).await? {
@@ -60,11 +66,15 @@
                     reporter.set_receiver(extension.is_some().then_some(&status.entry));
                     apply_status(shared, status, same_zone)?;
                     counts::apply_totals(shared, extension)?;
+                    status_due_at = shared.now() + STATUS_TIMEOUT;
                 }
             }
             if should_leave() {
                 return Ok(());
             }
+            if shared.now() > status_due_at {
+                return Err(Error::Timeout("status"));
+            }
         }
     };
     tokio::select! {
@@ -151,6 +161,10 @@
 
 /// Records the status of a source, or returns why the source is not usable.
 fn apply_status(shared: &SharedState, status: SourceStatus, same_zone: bool) -> Result<(), Error> {
+    if status.entry.is_empty() {
+        // Frames of another kind can be decoded as a status.
+        return Err(Error::Malformed("status without a name".into()));
+    }
     let now = shared.now();
     shared
         .reported_count
--- a/entry/tests/endless_bytes.rs
+++ b/entry/tests/endless_bytes.rs
@@ -6,16 +6,22 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{expect_response, fleet, fleet_with_raw_target, lanes, peak_memory_kb, read, until};
+use common::{
+    EVENT_TIMEOUT, expect_response, fleet, fleet_with_raw_target, lanes, peak_memory_kb, read,
+    until,
+};
 use http::StatusCode;
+use lacewingmoor_control::counts::{Counts, CountsUpdate};
 use lacewingmoor_control::model::{Record, Revision};
 use lacewingmoor_platform::server::encode_page;
 use lacewingmoor_standin::entry::EntryProcess;
+use lacewingmoor_standin::fleet::{Fleet, bundle};
 use lacewingmoor_standin::raw_target::{RawTarget, Script};
-use lacewingmoord::peer_protocol::{self, Subscribe};
+use lacewingmoor_standin::store::StoreFault;
+use lacewingmoord::peer_protocol::{self, EXTENSION_VERSION, Report, Subscribe};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt as _;
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 
 /// Memory that an entry may use for all but bodies of requests and responses: six tenths of that of the
 /// smallest VM, which has 112 MB.
@@ -27,7 +33,7 @@
 /// Bytes that a kind of sender repeats until its connection is closed.
 const PART_BYTES: usize = 16 * 1024;
 
-fn check_memory(fleet: &lacewingmoor_standin::fleet::Fleet) {
+fn check_memory(fleet: &Fleet) {
     let peak_kb = peak_memory_kb(fleet);
     let log = fleet.entries[0].log_text();
     let last = &log[log.len().saturating_sub(2000)..];
@@ -290,3 +296,64 @@
     let response = expect_response(&fleet.entries[0], &read("r-1")).await;
     assert_eq!(response.status, StatusCode::OK);
 }
+
+/// What an entry sends that is followed.
+#[derive(Clone, Copy, Debug)]
+enum SourceBytes {
+    /// Bytes of another protocol.
+    NoProtocol,
+    /// A frame of the greatest length, of which each byte comes.
+    LongFrame,
+    /// Reports, which no source sends.
+    Reports,
+}
+
+/// An entry followed a source that sent frames without end and never its status, and had no bundle.
+#[rstest]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn source_that_sends_no_status_is_left_and_uses_little_memory(
+    #[values(SourceBytes::NoProtocol, SourceBytes::LongFrame, SourceBytes::Reports)]
+    bytes: SourceBytes,
+) {
+    let repeated = match bytes {
+        SourceBytes::NoProtocol => b"no frame at all. ".repeat(1000),
+        SourceBytes::LongFrame => [&(8_u32 << 20).to_be_bytes()[..], &vec![0; 8 << 20]].concat(),
+        SourceBytes::Reports => {
+            let update = CountsUpdate {
+                is_full: true,
+                counts: Counts {
+                    entry_count: 1,
+                    ..Counts::default()
+                },
+                ..CountsUpdate::default()
+            };
+            let report = Report {
+                version: EXTENSION_VERSION,
+                update,
+            };
+            encoded(&report).await.repeat(1000)
+        }
+    };
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+    let seed = listener.local_addr().expect("an address");
+    let serve = tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let repeated = repeated.clone();
+            tokio::spawn(async move { while stream.write_all(&repeated).await.is_ok() {} });
+        }
+    });
+    let mut fleet = fleet(&lanes(), 0).await;
+    fleet.store.set_fault(StoreFault::Reset);
+    fleet
+        .add_entry_with_seeds("entry-0", "north-a", vec![seed])
+        .expect("the entry starts");
+    tokio::time::sleep(DURATION).await;
+    check_memory(&fleet);
+    fleet.store.set_fault(StoreFault::None);
+    fleet.store.put_bundle(&bundle(2, &[lanes()]));
+    serve.abort();
+    fleet
+        .wait_ready(EVENT_TIMEOUT)
+        .await
+        .expect("the entry follows the store again");
+}
