busy_fleet: orders late in a stop, and a target that sends bytes without end

Cause: callers of the soak sent each request after a response that closes its connection in a stop, so none came late in the grace period; and requests from 3 s after SIGTERM on were not checked. No target sent bytes without end.

Change: four callers of each entry send an order, 1.2 s of work, on the connection of a download that has just ended and may have begun before a stop. A request that is sent up to 1 s after the grace period must not be broken off, whether by a closed connection or by a response of the entry; one that is sent in the first 3 s may be in the last sixth. One target sends bytes without end, in one of six forms by the seed; no entry may exceed the memory for all but bodies. The faults of a seed do not change.

--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -135,11 +135,8 @@
 ///
 /// Panics if it does not run.
 pub fn peak_memory_kb(fleet: &Fleet) -> u64 {
-    let status = format!("/proc/{}/status", fleet.entries[0].id());
-    let text = std::fs::read_to_string(status).expect("the process runs");
-    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kilobytes = line.and_then(|line| line.split_whitespace().next());
-    kilobytes.and_then(|kb| kb.parse().ok()).expect("a number")
+    let peak_kb = fleet.entries[0].peak_memory_kb();
+    peak_kb.expect("the process runs")
 }
 
 /// Returns a bundle with one workspace for each name and rate limit; its key is its name with `key-` before
--- a/standin/examples/busy_fleet/callers.rs
+++ b/standin/examples/busy_fleet/callers.rs
@@ -10,9 +10,21 @@
 use lacewingmoor_standin::fleet::{Fleet, HOST};
 use tokio::task::JoinHandle;
 
-/// Timeout of the callers, longer than that of the routes.
+use crate::long_work::DOWNLOAD_BYTES;
+use crate::route_timeout;
+
+/// Timeout of the callers, longer than that of most routes.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Callers of each entry that send an order after each download.
+const DOWNLOADERS: u32 = 4;
+
+/// Time between the first downloads of these.
+const DOWNLOADERS_APART: Duration = Duration::from_millis(1300);
+
+/// Interval at which each entry gets a request whose target sends bytes without end.
+const ENDLESS_INTERVAL: Duration = Duration::from_millis(700);
+
 /// Interval at which each entry is asked for the route that was added last.
 const ADDED_ROUTE_INTERVAL: Duration = Duration::from_millis(150);
 
@@ -25,6 +37,28 @@
     Write,
     /// On the route that this version of the bundle added.
     Added(usize),
+    /// Has a response that takes seconds from its head to its end.
+    Download,
+    /// May run only once, and takes long.
+    Order,
+    /// Gets bytes without end from its target.
+    Endless,
+}
+
+impl Kind {
+    /// Returns true if the request may run only once.
+    pub fn runs_once(self) -> bool {
+        matches!(self, Kind::Write | Kind::Order)
+    }
+
+    /// Returns the length of a valid response; `None` if there is none.
+    pub fn response_bytes(self) -> Option<usize> {
+        match self {
+            Kind::Read | Kind::Write | Kind::Added(_) | Kind::Order => Some(2000),
+            Kind::Download => Some(DOWNLOAD_BYTES),
+            Kind::Endless => None,
+        }
+    }
 }
 
 /// Connection of a request.
@@ -97,7 +131,11 @@
             observations: observations.clone(),
         };
         tasks.push(tokio::spawn(caller.clone().send_on_new_connections()));
-        tasks.push(tokio::spawn(caller.send_on_kept_connection()));
+        tasks.push(tokio::spawn(caller.clone().send_on_kept_connection()));
+        for i in 0..DOWNLOADERS {
+            tasks.push(tokio::spawn(caller.clone().order_after_downloads(i)));
+        }
+        tasks.push(tokio::spawn(caller.ask_for_endless_bytes()));
     }
     let addrs = fleet
         .entries
@@ -122,6 +160,13 @@
             Bytes::from_static(b"x"),
         ),
         Kind::Added(version) => (Method::GET, format!("/added/{version}/1"), Bytes::new()),
+        Kind::Download => (Method::GET, "/downloads/read/1".to_owned(), Bytes::new()),
+        Kind::Order => (
+            Method::POST,
+            "/orders/write/1".to_owned(),
+            Bytes::from_static(b"x"),
+        ),
+        Kind::Endless => (Method::GET, "/endless/read/1".to_owned(), Bytes::new()),
     };
     CallerRequest {
         id,
@@ -129,7 +174,7 @@
         host: HOST.into(),
         path,
         body,
-        timeout: CALLER_TIMEOUT,
+        timeout: route_timeout(kind).max(CALLER_TIMEOUT),
         key: None,
     }
 }
@@ -177,6 +222,39 @@
         }
     }
 
+    /// Sends an order on the connection of each download, unless the response closes it.
+    async fn order_after_downloads(self, i: u32) {
+        tokio::time::sleep(DOWNLOADERS_APART * i).await;
+        for turn in 0.. {
+            if let Some(mut connection) = KeptConnection::open(self.addr).await {
+                for kind in [Kind::Download, Kind::Order] {
+                    let id = format!("{}-{}-{kind:?}{i}-{turn}", self.seed, self.entry);
+                    let request = request(id, kind);
+                    let sent_at = Instant::now();
+                    let result = connection.send(&request).await;
+                    let stays_open = matches!(&result,
+                        RequestResult::Response(response) if !response.closes_connection);
+                    self.record(request.id, kind, Connection::Kept, sent_at, result);
+                    if !stays_open {
+                        break;
+                    }
+                }
+            }
+            tokio::time::sleep(self.interval).await;
+        }
+    }
+
+    async fn ask_for_endless_bytes(self) {
+        for i in 0.. {
+            let kind = Kind::Endless;
+            let request = request(format!("{}-{}-e{i}", self.seed, self.entry), kind);
+            let sent_at = Instant::now();
+            let result = send_request(self.addr, &request).await;
+            self.record(request.id, kind, Connection::New, sent_at, result);
+            tokio::time::sleep(ENDLESS_INTERVAL).await;
+        }
+    }
+
     fn record(
         &self,
         id: String,
--- a/standin/examples/busy_fleet/checks.rs
+++ b/standin/examples/busy_fleet/checks.rs
@@ -10,7 +10,7 @@
 use lacewingmoor_standin::caller::RequestResult;
 
 use crate::callers::{Connection, Kind, Observed};
-use crate::{Disturbance, RETRY_AFTER, ROUTE_TIMEOUT, Scenario};
+use crate::{Disturbance, GRACE, RETRY_AFTER, Scenario, route_timeout};
 
 /// Time for which an entry must have been undisturbed.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
@@ -25,8 +25,12 @@
 /// target got it.
 const LOSS_SLACK: Duration = Duration::from_millis(200);
 
-/// Time after SIGTERM for which requests count that a shutdown must not cut off.
-const STOP_ARRIVALS: Duration = Duration::from_secs(3);
+/// Time after the end of the grace period up to which a request counts that a shutdown must not break off.
+const STOP_SLACK: Duration = Duration::from_secs(1);
+
+/// Time after SIGTERM up to which a request may be sent that may be broken off in the last sixth of the grace
+/// period.
+const BREAK_OFF_ARRIVALS: Duration = Duration::from_secs(3);
 
 /// Time after a response which says that a target leaves from which on it must get no request.
 const DRAIN_PERIOD: Duration = Duration::from_secs(2);
@@ -85,24 +89,30 @@
     }
 }
 
+/// Returns true if the status means that the request has not run and will not.
+fn is_refusal(status: StatusCode) -> bool {
+    [408, 421, 429, 503].contains(&status.as_u16())
+}
+
 /// Guards against second runs, refusals of requests that ran, and successes that are not valid.
 fn check_outcomes(observed: &[Observed], runs: &HashMap<String, usize>) -> Result<(), String> {
     for request in observed {
         let count = runs.get(&request.id).copied().unwrap_or(0);
-        if request.kind == Kind::Write && count > 1 {
+        if request.kind.runs_once() && count > 1 {
             return Err(format!("{} ran {count} times", request.id));
         }
         let RequestResult::Response(response) = &request.result else {
             continue;
         };
-        let is_refusal = [408, 421, 429, 503].contains(&response.status.as_u16());
-        if is_refusal && request.kind == Kind::Write && count > 0 {
+        if is_refusal(response.status) && request.kind.runs_once() && count > 0 {
             return Err(format!(
                 "{} was refused as not run but ran: {request:?}",
                 request.id
             ));
         }
-        let is_valid = response.signed && response.id_matches && response.body_bytes == 2000;
+        let is_valid = response.signed
+            && response.id_matches
+            && Some(response.body_bytes) == request.kind.response_bytes();
         if response.status == StatusCode::OK && !is_valid {
             return Err(format!(
                 "{} got an invalid success: {response:?}",
@@ -129,7 +139,23 @@
     stops.map(|(_, at)| *at).max()
 }
 
-/// Guards against requests that a stop cuts off.
+/// Returns true if a request that a target got, or that was read, has no complete response of a target.
+fn is_broken_off(request: &Observed, has_run: bool) -> bool {
+    let elapsed = request.ended_at - request.sent_at;
+    match &request.result {
+        // A request on a kept connection may cross its close.
+        RequestResult::NoResponse => {
+            has_run || (elapsed > LOSS_SLACK && request.connection == Connection::New)
+        }
+        // The targets of orders have no faults, so each other response is one of the entry.
+        RequestResult::Response(response) if request.kind == Kind::Order => {
+            has_run && !response.signed && !is_refusal(response.status)
+        }
+        RequestResult::Response(_) | RequestResult::ConnectFailed => false,
+    }
+}
+
+/// Guards against requests that a stop breaks off.
 fn check_stops(
     scenario: &Scenario,
     observed: &[Observed],
@@ -140,18 +166,20 @@
         let Some(stopped_at) = last_stop(scenario, request.entry, request.ended_at) else {
             continue;
         };
-        let is_around_stop = request.sent_at < stopped_at + STOP_ARRIVALS;
-        let reached = runs.contains_key(&request.id);
-        // A request on a kept connection may cross its close.
-        let is_cut = reached || (elapsed > LOSS_SLACK && request.connection == Connection::New);
-        if request.result == RequestResult::NoResponse
+        let is_around_stop = request.sent_at < stopped_at + GRACE + STOP_SLACK;
+        let may_be_broken_off = request.sent_at <= stopped_at + BREAK_OFF_ARRIVALS
+            && request.ended_at >= stopped_at + GRACE * 5 / 6;
+        if is_broken_off(request, runs.contains_key(&request.id))
             && is_around_stop
-            && is_cut
-            && elapsed < ROUTE_TIMEOUT
+            && !may_be_broken_off
+            && elapsed < route_timeout(request.kind)
             && is_undisturbed(scenario, request.entry, request.sent_at, request.ended_at)
         {
+            let sent = request.sent_at.saturating_duration_since(stopped_at);
             let after = request.ended_at - stopped_at;
-            return Err(format!("cut off {after:?} after SIGTERM: {request:?}"));
+            return Err(format!(
+                "sent {sent:?} and broken off {after:?} after SIGTERM: {request:?}"
+            ));
         }
     }
     Ok(())
@@ -181,7 +209,8 @@
 /// while.
 fn check_notices(scenario: &Scenario, observed: &[Observed]) -> Result<(), String> {
     let by_id: HashMap<&str, &Observed> = observed.iter().map(|o| (o.id.as_str(), o)).collect();
-    for (i, target) in scenario.fleet.targets.iter().enumerate() {
+    let relayed = scenario.fleet.targets.iter().zip(&scenario.relay_faults);
+    for (i, (target, relay_faults)) in relayed.enumerate() {
         let mut told_leaving: HashMap<usize, Instant> = HashMap::new();
         let mut told_declined: HashMap<usize, (Instant, usize)> = HashMap::new();
         for arrival in target.standin.arrivals() {
@@ -189,7 +218,7 @@
                 continue;
             };
             let entry = request.entry;
-            let mut faults = scenario.relay_faults[i].iter();
+            let mut faults = relay_faults.iter();
             let is_harmed = faults.any(|(from, to)| {
                 *from <= arrival.at && to.is_none_or(|to| to + CONTACT_TIME >= arrival.at)
             });
@@ -253,15 +282,16 @@
     let mut late = Vec::new();
     for request in observed {
         let elapsed = request.ended_at - request.sent_at;
-        let to = request.sent_at + ROUTE_TIMEOUT + RESPONSE_SLACK;
-        if elapsed < ROUTE_TIMEOUT
+        let timeout = route_timeout(request.kind);
+        let to = request.sent_at + timeout + RESPONSE_SLACK;
+        if elapsed < timeout
             || request.result == RequestResult::ConnectFailed
             || !is_undisturbed(scenario, request.entry, request.sent_at, to)
         {
             continue;
         }
         unanswered += 1;
-        if elapsed > ROUTE_TIMEOUT + RESPONSE_SLACK {
+        if elapsed > timeout + RESPONSE_SLACK {
             late.push(request);
         }
     }
--- a/standin/examples/busy_fleet/main.rs
+++ b/standin/examples/busy_fleet/main.rs
@@ -5,32 +5,42 @@
 //! Relays between entries and targets delay, stall, cut in the middle of a response, reset, or write an
 //! earlier response once more. Entries are stopped by SIGTERM in overlapping series, reloaded, killed,
 //! restarted, and starved of processor time by short pauses. New bundles with further routes are written
-//! all the while. Targets say that they leave, or for how long they want no requests. Callers wait for longer than the timeout of the routes, and half of them keep their
-//! connections for as long as these stay open.
+//! all the while. Targets say that they leave, or for how long they want no requests. Callers wait for longer
+//! than the timeout of the routes, and half of them keep their connections for as long as these stay open.
+//! Others send an order on the connection of a download that has just ended, whose response may have begun
+//! before a stop. One target sends bytes without end.
 //!
 //! Checks for each seed, from what callers and targets observed, see `checks.rs`. Exits with 1 if one fails,
 //! and prints the seed.
 
 mod callers;
 mod checks;
+mod long_work;
 
 use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::{Duration, Instant};
 
 use argh::FromArgs;
-use callers::Observations;
+use callers::{Kind, Observations};
 use lacewingmoor_bundle::{RawBundle, RawRoute};
 use lacewingmoor_standin::fleet::{Fleet, ServiceSpec, ZONES, bundle};
 use lacewingmoor_standin::relay::{NetworkFault, Relay};
+use long_work::RawTargets;
 use rand::rngs::StdRng;
 use rand::{RngExt as _, SeedableRng as _};
 
-/// Timeout of all routes.
-pub const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Timeout of all routes but those of [`long_work`].
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Timeout of the routes of orders.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Timeout of the routes of downloads.
+const DOWNLOAD_TIMEOUT: Duration = Duration::from_secs(8);
 
 /// Time from SIGTERM to SIGKILL, as in the settings of the entries.
-const GRACE: Duration = Duration::from_secs(6);
+pub const GRACE: Duration = Duration::from_secs(6);
 
 /// Time after the grace period by which a process that was stopped must have been reaped.
 const REAP_SLACK: Duration = Duration::from_secs(2);
@@ -41,6 +51,9 @@
 /// The same as a time.
 pub const RETRY_AFTER: Duration = Duration::from_millis(1500);
 
+/// Memory that an entry may use for all but bodies: six tenths of that of the smallest VM.
+const MEMORY_MAX_KB: u64 = 67_000;
+
 /// Interval at which entries that are starved are paused or resumed.
 const STARVE_TICK: Duration = Duration::from_millis(20);
 
@@ -139,6 +152,15 @@
     result
 }
 
+/// Returns the timeout of the route of a request.
+pub fn route_timeout(kind: Kind) -> Duration {
+    match kind {
+        Kind::Read | Kind::Write | Kind::Added(_) | Kind::Endless => ROUTE_TIMEOUT,
+        Kind::Order => ORDER_TIMEOUT,
+        Kind::Download => DOWNLOAD_TIMEOUT,
+    }
+}
+
 /// What disturbs an entry, for the time-bounded checks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Disturbance {
@@ -158,6 +180,7 @@
     pub written_at: Vec<Instant>,
     /// What went wrong with processes.
     pub process_failures: Vec<String>,
+    _raw_targets: RawTargets,
     relays: Vec<Relay>,
     rng: StdRng,
     /// Draws what targets say of themselves. The draws of `rng`, and so the faults of a seed, do not depend on
@@ -168,7 +191,7 @@
     pub target_restarts: Vec<Vec<Instant>>,
     /// When the relay of each target got its last fault, and when that ended, for each of its faults.
     pub relay_faults: Vec<Vec<(Instant, Option<Instant>)>>,
-    service: ServiceSpec,
+    services: Vec<ServiceSpec>,
     /// Until when each entry is starved.
     starved_until: Vec<Option<Instant>>,
     /// When each entry that is to exit was signalled, and by which signal.
@@ -185,9 +208,18 @@
             ..ServiceSpec::small("lanes")
         };
         let binary = Fleet::entry_binary_of_example();
-        let mut fleet = Fleet::start(&binary, std::slice::from_ref(&service), 0).await?;
+        let services = vec![
+            service,
+            long_work::orders(),
+            long_work::downloads(),
+            long_work::endless(),
+        ];
+        let mut fleet = Fleet::start(&binary, &services, 0).await?;
+        let raw_targets = RawTargets::start(&fleet, seed).await?;
         let mut relays = Vec::new();
-        for target in &mut fleet.targets {
+        let is_relayed = |service: &str| service == services[0].name;
+        let relayed = fleet.targets.iter_mut();
+        for target in relayed.filter(|target| is_relayed(&target.registration.service)) {
             let relay = Relay::start(target.standin.addr()).await?;
             target.registration.addr = relay.addr();
             fleet.store.put_target(&target.registration);
@@ -195,7 +227,7 @@
         }
         fleet
             .store
-            .put_bundle(&bundle_with_added_routes(1, &service));
+            .put_bundle(&bundle_with_added_routes(1, &services));
         for i in 0..entry_count {
             let (zone, _) = ZONES[i % ZONES.len()];
             fleet.add_entry(&format!("entry-{i}"), zone, fleet.store.addr())?;
@@ -209,11 +241,12 @@
             written_at: vec![now],
             process_failures: Vec::new(),
             relay_faults: vec![Vec::new(); relays.len()],
+            _raw_targets: raw_targets,
             relays,
             rng: StdRng::seed_from_u64(seed),
             notice_rng: StdRng::seed_from_u64(!seed),
             target_restarts,
-            service,
+            services,
             starved_until: vec![None; entry_count],
             stopping: vec![None; entry_count],
             ticks: 0,
@@ -260,7 +293,7 @@
             7 => {}
             _ => {
                 let version = self.written_at.len() as u64 + 1;
-                let bundle = bundle_with_added_routes(version, &self.service);
+                let bundle = bundle_with_added_routes(version, &self.services);
                 self.fleet.store.put_bundle(&bundle);
                 self.written_at.push(Instant::now());
             }
@@ -318,12 +351,22 @@
             self.ticks += 1;
             for entry in 0..self.stopping.len() {
                 self.starve(entry);
+                self.check_memory(entry);
                 self.restart_if_exited(entry);
             }
             tokio::time::sleep(STARVE_TICK).await;
         }
     }
 
+    /// Guards against bytes of a target that fill the memory of an entry.
+    fn check_memory(&mut self, entry: usize) {
+        let peak_kb = self.fleet.entries[entry].peak_memory_kb();
+        if let Some(peak_kb) = peak_kb.filter(|peak_kb| *peak_kb > MEMORY_MAX_KB) {
+            self.process_failures
+                .push(format!("entry {entry} had {peak_kb} KB of memory"));
+        }
+    }
+
     fn starve(&mut self, entry: usize) {
         let Some(until) = self.starved_until[entry] else {
             return;
@@ -403,8 +446,8 @@
 }
 
 /// Returns a bundle in which each version adds the route `/added/<version>/`.
-fn bundle_with_added_routes(version: u64, service: &ServiceSpec) -> RawBundle {
-    let mut bundle = bundle(version, std::slice::from_ref(service));
+fn bundle_with_added_routes(version: u64, services: &[ServiceSpec]) -> RawBundle {
+    let mut bundle = bundle(version, services);
     let read = bundle.routes[0].clone();
     let added = (1..=version).map(|added| RawRoute {
         name: format!("added-{added}"),
@@ -412,8 +455,15 @@
         ..read.clone()
     });
     bundle.routes.extend(added);
+    let (orders, downloads) = (long_work::orders().name, long_work::downloads().name);
     for route in &mut bundle.routes {
-        route.timeout_ms = ROUTE_TIMEOUT.as_millis() as u64;
+        let service = route.destinations[0].service.as_str();
+        let timeout = match service {
+            _ if service == orders => ORDER_TIMEOUT,
+            _ if service == downloads => DOWNLOAD_TIMEOUT,
+            _ => ROUTE_TIMEOUT,
+        };
+        route.timeout_ms = timeout.as_millis() as u64;
     }
     bundle
 }
--- a/standin/src/entry.rs
+++ b/standin/src/entry.rs
@@ -161,6 +161,13 @@
         mask.is_some_and(|mask| mask & (1 << (signal - 1)) != 0)
     }
 
+    /// Returns the peak memory of the process in kilobytes; `None` if it does not run.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        let text = std::fs::read_to_string(format!("/proc/{}/status", self.child.id())).ok()?;
+        let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        line.split_whitespace().next()?.parse().ok()
+    }
+
     /// Waits up to `timeout` for the process to exit. Returns true if it has exited with success.
     pub fn wait(&mut self, timeout: Duration) -> bool {
         let deadline = Instant::now() + timeout;
