Tell a dead target from one that reads slowly

Cause: TCP_USER_TIMEOUT also ends connections whose other end acknowledges all data and announces a window of zero.

Change: connections to targets and the store use keepalive instead (2 s, then two questions 1 s apart). A request under way ends by its deadline. Ruled out: a longer timeout, which would only move the limit; a timeout for requests without a body only, since windows may be smaller than a request.

--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -14,14 +14,21 @@
 use lacewingmoor_control::Map;
 use lacewingmoor_control::message_bounds::{Message, MessageBounds};
 use quick_error::quick_error;
-use socket2::SockRef;
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
 use tokio::task::JoinHandle;
 
 use crate::response_check::{InterimResponses, LastRead, RecordedStream, is_valid};
 
-/// Time that sent data may stay unacknowledged before the kernel closes the connection.
-const TCP_USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Time without a packet after which the kernel asks whether the other end is alive.
+///
+/// `TCP_USER_TIMEOUT` would also end connections whose other end is alive and does not read for a while: it
+/// acknowledges all data and announces a window of zero. A request under way ends by its own deadline.
+const KEEPALIVE_TIME: Duration = Duration::from_secs(2);
+
+/// Interval of further questions, and how many stay unanswered before the connection is closed.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+const KEEPALIVE_RETRIES: u32 = 2;
 
 /// Time after which an idle connection is closed. Targets commonly close idle connections after
 /// 10 s.
@@ -116,8 +123,12 @@
             .map_err(|_| Error::Timeout)?
             .map_err(Error::Connect)?;
         stream.set_nodelay(true).map_err(Error::Connect)?;
+        let keepalive = TcpKeepalive::new()
+            .with_time(KEEPALIVE_TIME)
+            .with_interval(KEEPALIVE_INTERVAL)
+            .with_retries(KEEPALIVE_RETRIES);
         SockRef::from(&stream)
-            .set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
+            .set_tcp_keepalive(&keepalive)
             .map_err(Error::Connect)?;
         let last_read = LastRead::default();
         let stream = RecordedStream::new(stream, last_read.clone());
--- a/entry/tests/large_bodies.rs
+++ b/entry/tests/large_bodies.rs
@@ -6,10 +6,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use common::{EVENT_TIMEOUT, expect_response, fleet, lanes, peak_memory_kb, until, write};
+use common::{
+    EVENT_TIMEOUT, expect_response, fleet, lanes, peak_memory_kb, register_raw, until, write,
+};
 use lacewingmoor_bundle::RawLimits;
 use lacewingmoor_standin::caller::{CallerRequest, RequestResult, send_request};
 use lacewingmoor_standin::fleet::{Fleet, HOST, ServiceSpec, bundle};
+use lacewingmoor_standin::raw_target::{RawTarget, Script};
 use rstest::rstest;
 use tokio::io::AsyncWriteExt as _;
 use tokio::net::TcpStream;
@@ -193,3 +196,31 @@
     let peak_kb = peak_memory_kb(&fleet);
     assert!(peak_kb <= peak_kb_max, "peak of {peak_kb} KB");
 }
+
+/// Time for which a target works on the first part of an upload before it reads on. Longer than any timeout
+/// for data that a dead peer does not acknowledge.
+const FIRST_PART_TIME: Duration = Duration::from_secs(4);
+
+/// Guards against uploads that are broken off because their target does not read for a while: it announces a
+/// window of zero and acknowledges all that has arrived.
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn upload_to_a_target_that_reads_late_gets_its_response() {
+    let no_targets = ServiceSpec {
+        targets_per_zone: 0,
+        ..lanes()
+    };
+    let fleet = fleet_for_bodies(&no_targets, None).await;
+    let response = "HTTP/1.1 200 OK\r\nX-Lacewingmoor-Attempt-Id: {id}\r\n\
+         X-Lacewingmoor-Server-Seal: seal\r\nContent-Length: 4\r\n\r\ndone";
+    let script = Script::Paced(
+        vec![(FIRST_PART_TIME, String::new())],
+        Box::new(Script::Once(response.into())),
+    );
+    let target = RawTarget::start(([127, 0, 0, 1], 0).into(), "raw", script).await;
+    let target = target.expect("the target starts");
+    register_raw(&fleet, "raw", target.addr()).await;
+    let response = expect_response(&fleet.entries[0], &upload("r-1", 16 << 20)).await;
+    let log = fleet.entries[0].log_text();
+    assert_eq!(response.status.as_u16(), 200, "{log}");
+    assert_eq!(target.request_count(), 1);
+}
