refusals: let both targets of an address answer the health check

Cause: the test registers a second target at the address of the first and relied on no probe before a request. That decision of the entry is right.

Change: health responses name no target, so both are sent to. The assertions are the same.

Measured: passes; fails (503 instead of 200) if the connection of a 421 is used again, the fault that it guards against.

--- a/entry/tests/refusals.rs
+++ b/entry/tests/refusals.rs
@@ -102,8 +102,9 @@
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn second_copy_of_a_refusal_does_not_refuse_the_same_request_at_the_same_address() {
     let (fleet, target) = fleet_with_raw_target(Script::Once(success())).await;
-    // Without load reports no probe precedes a request.
-    target.set_load("");
+    // Health responses that name no target are those of both.
+    let health = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+    target.set_probe_script(Some(Script::Once(health.into())));
     register_raw(&fleet, "second", target.addr()).await;
     for i in 0..2 {
         let response = expect_response(&fleet.entries[0], &read(&format!("warm-up-{i}"))).await;
