Show callers that a response without a length is cut

Cause: the response to the caller had the target's version, with which hyper ends a body without a length with the connection, and a cut body closed the connection as a complete one does. Callers that speak HTTP/1.0 got that from targets of any version.

Change: responses to callers have the entry's version. While a response to a caller of HTTP/1.0 is incomplete, the end of its connection is a reset. Ruled out: refusing targets that answer as HTTP/1.0, which would cost complete responses.

--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use http::header::CONTENT_LENGTH;
 use http::request::Parts;
-use http::{Request, Response, StatusCode, response};
+use http::{Request, Response, StatusCode, Version, response};
 use http_body_util::{BodyExt as _, Limited};
 use hyper::body::{Body as _, Incoming};
 use lacewingmoor_bundle::Repeat;
@@ -263,6 +263,8 @@
         in_flight: VersionInFlight,
     ) -> Result<Response<ResponseBody>, AttemptError> {
         let (mut head, mut body) = response.into_parts();
+        // The version of the connection to the target says nothing about that to the caller.
+        head.version = Version::HTTP_11;
         let headers = &head.headers;
         let dialect = shared.settings.dialect;
         if head.status != StatusCode::MISDIRECTED_REQUEST {
--- a/entry/src/caller.rs
+++ b/entry/src/caller.rs
@@ -4,7 +4,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::Request;
 use http::header::{CONNECTION, HeaderValue};
+use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -94,7 +96,8 @@
     let service = {
         let shared = shared.clone();
         let state = state.clone();
-        service_fn(move |request| {
+        service_fn(move |request: Request<Incoming>| {
+            let version = request.version();
             let shared = shared.clone();
             let state = state.clone();
             state.begin_request();
@@ -104,7 +107,7 @@
                     let close = HeaderValue::from_static("close");
                     response.headers_mut().insert(CONNECTION, close);
                 }
-                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, state)))
+                Ok::<_, Infallible>(response.map(|body| TrackedBody::new(body, version, state)))
             }
         })
     };
--- a/entry/src/connection_state.rs
+++ b/entry/src/connection_state.rs
@@ -9,11 +9,12 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use http::Version;
 use hyper::body::{Body, Frame, SizeHint};
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::shutdown::Phase;
 use lacewingmoor_derive::copy_value;
-use slog::info;
+use slog::{info, warn};
 use socket2::SockRef;
 use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
@@ -49,6 +50,8 @@
     is_closing: Cell<bool>,
     /// True while the socket takes no more bytes of a response.
     is_write_blocked: Cell<bool>,
+    /// True while a response is incomplete whose end the caller knows by the end of the connection.
+    is_end_awaited: Cell<bool>,
     shared: Rc<SharedState>,
 }
 
@@ -60,6 +63,7 @@
             stage,
             is_closing: Cell::new(false),
             is_write_blocked: Cell::new(false),
+            is_end_awaited: Cell::new(false),
             shared,
         })
     }
@@ -124,8 +128,11 @@
 }
 
 impl TrackedBody {
-    /// Wraps the response body of a request on the connection of `state`.
-    pub fn new(body: ResponseBody, state: Rc<ConnectionState>) -> Self {
+    /// Wraps the response body of a request of this version on the connection of `state`.
+    pub fn new(body: ResponseBody, version: Version, state: Rc<ConnectionState>) -> Self {
+        // There are no chunks before HTTP/1.1.
+        let is_end_awaited = version < Version::HTTP_11 && !body.is_end_stream();
+        state.is_end_awaited.set(is_end_awaited);
         Self { body, state }
     }
 }
@@ -145,7 +152,12 @@
         self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BodyError>>> {
-        Pin::new(&mut self.get_mut().body).poll_frame(cx)
+        let this = self.get_mut();
+        let frame = ready!(Pin::new(&mut this.body).poll_frame(cx));
+        if frame.is_none() || this.body.is_end_stream() {
+            this.state.is_end_awaited.set(false);
+        }
+        Poll::Ready(frame)
     }
 
     fn is_end_stream(&self) -> bool {
@@ -194,6 +206,17 @@
     }
 }
 
+impl Drop for CallerStream {
+    fn drop(&mut self) {
+        if self.state.is_end_awaited.get()
+            // Closing then resets the connection.
+            && let Err(error) = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO))
+        {
+            warn!(self.state.shared.log, "reset_failed"; "cause" => %error);
+        }
+    }
+}
+
 impl AsyncRead for CallerStream {
     fn poll_read(
         self: Pin<&mut Self>,
@@ -234,7 +257,12 @@
     }
 
     fn poll_shutdown(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.get_mut().stream).poll_shutdown(cx)
+        let this = self.get_mut();
+        match this.state.is_end_awaited.get() {
+            // An orderly end would make the response look complete.
+            true => Poll::Ready(Ok(())),
+            false => Pin::new(&mut this.stream).poll_shutdown(cx),
+        }
     }
 
     fn poll_write_vectored(
