--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -161,7 +161,7 @@
 
     /// Brings the hard deadline forward, so that the request leaves the queue when a shutdown lets it be
     /// sent no more.
-    pub fn limit_to(&mut self, window: SendWindow, service_time: Duration) {
+    pub fn limit_to_window(&mut self, window: SendWindow, service_time: Duration) {
         let limit = match window {
             SendWindow::Open => return,
             SendWindow::Until(at) => at + service_time,
--- a/control/src/confirmation.rs
+++ b/control/src/confirmation.rs
@@ -42,20 +42,22 @@
 }
 
 impl TargetStats {
-    /// Records that the target has told in a health response at `now` how long it stays cold; zero ends
-    /// its warm-up.
-    pub fn record_confirmation(&mut self, now: Timestamp, warmup_left: Duration) {
+    /// Records a health response at `now`, with how long the target stays cold if it tells; zero ends its
+    /// warm-up.
+    pub fn record_confirmation(&mut self, now: Timestamp, warmup_left: Option<Duration>) {
         self.confirmed_at = Some(now);
         self.unanswered_until = Timestamp::ZERO;
-        self.set_warmup(now, warmup_left);
+        if let Some(warmup_left) = warmup_left {
+            self.set_warmup(now, warmup_left);
+        }
     }
 
     /// Records how long the target stays cold by a registration, unless a health response that may be newer
     /// says that it stays cold for longer.
     pub fn record_registered_warmup(&mut self, now: Timestamp, warmup_left: Duration) {
-        let is_older = |at: Timestamp| now < at + REGISTRATION_AGE_MAX;
+        let may_be_newer = |at: Timestamp| now < at + REGISTRATION_AGE_MAX;
         let is_longer = self.warmup_until > now + warmup_left;
-        if !(self.confirmed_at.is_some_and(is_older) && is_longer) {
+        if !(is_longer && self.confirmed_at.is_some_and(may_be_newer)) {
             self.set_warmup(now, warmup_left);
         }
     }
--- a/control/src/message_bounds.rs
+++ b/control/src/message_bounds.rs
@@ -10,7 +10,7 @@
 
 /// A kind of message that an entry reads.
 #[copy_value]
-pub enum Message {
+pub enum MessageKind {
     /// Request of a caller while no bundle is active; see [`MessageBounds::of_request`].
     Request,
     /// Request of an operator or the platform, for readiness, metrics or status. Its body is not read.
@@ -46,16 +46,16 @@
 
 impl MessageBounds {
     /// Returns the bounds of a kind of message.
-    pub const fn of(message: Message) -> Self {
-        let (head_bytes, body_bytes) = match message {
-            Message::Request => (16 << 10, 0),
-            Message::AdminRequest => (8 << 10, 0),
-            Message::Response => (4 << 10, 96 << 10),
-            Message::Rejection | Message::ProbeResponse => (4 << 10, 16 << 10),
-            Message::StoreResponse => (4 << 10, 4 << 20),
-            Message::Listing | Message::SourceFrame => (0, 8 << 20),
-            Message::Subscription => (0, 16 << 10),
-            Message::Report => (0, 512 << 10),
+    pub const fn of(kind: MessageKind) -> Self {
+        let (head_bytes, body_bytes) = match kind {
+            MessageKind::Request => (16 << 10, 0),
+            MessageKind::AdminRequest => (8 << 10, 0),
+            MessageKind::Response => (4 << 10, 96 << 10),
+            MessageKind::Rejection | MessageKind::ProbeResponse => (4 << 10, 16 << 10),
+            MessageKind::StoreResponse => (4 << 10, 4 << 20),
+            MessageKind::Listing | MessageKind::SourceFrame => (0, 8 << 20),
+            MessageKind::Subscription => (0, 16 << 10),
+            MessageKind::Report => (0, 512 << 10),
         };
         Self {
             head_bytes,
@@ -70,7 +70,7 @@
                 head_bytes: limits.head_bytes_max,
                 body_bytes: usize::try_from(limits.body_bytes_max).unwrap_or(usize::MAX),
             },
-            None => Self::of(Message::Request),
+            None => Self::of(MessageKind::Request),
         }
     }
 }
--- a/control/tests/confirmation.rs
+++ b/control/tests/confirmation.rs
@@ -30,7 +30,7 @@
 fn target_is_asked_before_a_send_unless_it_has_just_responded(#[case] case: Case) {
     let mut stats = TargetStats::default();
     assert_eq!(stats.confirmation(ms(0)), Confirmation::Due, "never asked");
-    stats.record_confirmation(ms(CONFIRMED_AT_MS), ms(0));
+    stats.record_confirmation(ms(CONFIRMED_AT_MS), None);
     for _ in 0..case.sends {
         stats.record_send(ms(CONFIRMED_AT_MS + 1));
     }
@@ -50,7 +50,7 @@
     #[case] is_cold: bool,
 ) {
     let mut stats = TargetStats::default();
-    stats.record_confirmation(ms(CONFIRMED_AT_MS), ms(8000));
+    stats.record_confirmation(ms(CONFIRMED_AT_MS), Some(ms(8000)));
     stats.record_registered_warmup(ms(registered_at_ms), ms(registered_left_ms));
     assert_eq!(stats.is_warming_up(ms(registered_at_ms + 1)), is_cold);
 }
@@ -61,7 +61,9 @@
     let mut stats = TargetStats::default();
     stats.record_registered_warmup(ms(0), ms(8000));
     assert!(stats.is_warming_up(ms(1)));
-    stats.record_confirmation(ms(500), ms(0));
+    stats.record_confirmation(ms(400), None);
+    assert!(stats.is_warming_up(ms(401)), "the response does not tell");
+    stats.record_confirmation(ms(500), Some(ms(0)));
     assert!(!stats.is_warming_up(ms(501)));
 }
 
@@ -95,7 +97,7 @@
         if stats.confirmation(now) == Confirmation::Due
             && self.budget.take_for_request(now, probes_per_s, 1) == 1
         {
-            stats.record_confirmation(now, ms(cold_left_ms));
+            stats.record_confirmation(now, Some(ms(cold_left_ms)));
         }
         if stats.is_warming_up(now) {
             let may_send = |rate_per_s| stats.warmup_limiter.try_take(now, rate_per_s);
--- a/entry/src/admin.rs
+++ b/entry/src/admin.rs
@@ -10,7 +10,7 @@
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
-use lacewingmoor_control::message_bounds::{Message, MessageBounds};
+use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use lacewingmoor_platform::READY_PATH;
 use metrics_exporter_prometheus::PrometheusHandle;
 use slog::debug;
@@ -29,7 +29,7 @@
 const STATUS_PATH: &str = "/status";
 
 /// Maximum buffer size of a connection. hyper panics below 8 KiB.
-const BUFFER_BYTES_MAX: usize = MessageBounds::of(Message::AdminRequest).head_bytes;
+const BUFFER_BYTES_MAX: usize = MessageBounds::of(MessageKind::AdminRequest).head_bytes;
 
 /// Serves readiness, metrics and status on a listener.
 pub async fn serve(shared: Rc<SharedState>, listener: TcpListener, metrics: PrometheusHandle) {
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -12,7 +12,7 @@
 use lacewingmoor_bundle::Repeat;
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::attempt::Outcome;
-use lacewingmoor_control::message_bounds::{Message, MessageBounds};
+use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use lacewingmoor_control::model::{Target, TargetId};
 use lacewingmoor_control::rate_limit::ResponseKind;
 use lacewingmoor_control::rollout::results::AttemptResult;
@@ -32,7 +32,7 @@
 
 /// Response bytes that are buffered before the head is forwarded. A response that breaks off within
 /// them can still be replaced by that of another target.
-const READ_AHEAD_BYTES: usize = MessageBounds::of(Message::Response).body_bytes;
+const READ_AHEAD_BYTES: usize = MessageBounds::of(MessageKind::Response).body_bytes;
 
 /// Duration below which an attempt that failed at the hard deadline does not count as a failure of
 /// the target.
@@ -46,7 +46,7 @@
 const REJECTION_BODY_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Length of a rejection's body above which its connection is closed.
-const REJECTION_BYTES_MAX: usize = MessageBounds::of(Message::Rejection).body_bytes;
+const REJECTION_BYTES_MAX: usize = MessageBounds::of(MessageKind::Rejection).body_bytes;
 
 /// Weight of the newest response in `ServiceState::response_bytes`.
 const RESPONSE_SIZE_SMOOTHING: f64 = 0.1;
--- a/entry/src/connection.rs
+++ b/entry/src/connection.rs
@@ -12,7 +12,7 @@
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use lacewingmoor_control::Map;
-use lacewingmoor_control::message_bounds::{Message, MessageBounds};
+use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use quick_error::quick_error;
 use socket2::{SockRef, TcpKeepalive};
 use tokio::net::TcpStream;
@@ -43,7 +43,7 @@
 
 /// Size of the read buffer of a connection, which also limits the head of a response. There are up to
 /// `IDLE_TOTAL_MAX` idle connections, and responses are streamed through the buffer.
-pub const READ_BUFFER_BYTES: usize = MessageBounds::of(Message::Response).head_bytes;
+pub const READ_BUFFER_BYTES: usize = MessageBounds::of(MessageKind::Response).head_bytes;
 
 quick_error! {
     /// Why a request got no response.
--- a/entry/src/peer_protocol.rs
+++ b/entry/src/peer_protocol.rs
@@ -10,7 +10,7 @@
 use bincode::config::{Configuration, Limit, LittleEndian, Varint};
 use lacewingmoor_control::bounds::BodyBytes;
 use lacewingmoor_control::counts::CountsUpdate;
-use lacewingmoor_control::message_bounds::{Message as BoundedMessage, MessageBounds};
+use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use lacewingmoor_control::model::Revision;
 use lacewingmoor_control::replica::Update;
 use lacewingmoor_control::source::SourceHealth;
@@ -24,13 +24,13 @@
 pub const STATUS_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Maximum length of a frame.
-const FRAME_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::SourceFrame).body_bytes;
+const FRAME_BYTES_MAX: usize = MessageBounds::of(MessageKind::SourceFrame).body_bytes;
 
 /// Maximum length of the first frame of a follower.
-const SUBSCRIPTION_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::Subscription).body_bytes;
+const SUBSCRIPTION_BYTES_MAX: usize = MessageBounds::of(MessageKind::Subscription).body_bytes;
 
 /// Maximum length of a report of a follower.
-const REPORT_BYTES_MAX: usize = MessageBounds::of(BoundedMessage::Report).body_bytes;
+const REPORT_BYTES_MAX: usize = MessageBounds::of(MessageKind::Report).body_bytes;
 
 /// Time within which a report must be complete after its length. An entry writes a frame within this time.
 const REPORT_TIMEOUT: Duration = Duration::from_secs(2);
--- a/entry/src/probe.rs
+++ b/entry/src/probe.rs
@@ -10,7 +10,7 @@
 use http_body_util::{BodyExt as _, Limited};
 use lacewingmoor_bundle::Service;
 use lacewingmoor_control::Timestamp;
-use lacewingmoor_control::message_bounds::{Message, MessageBounds};
+use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use lacewingmoor_control::model::Target;
 use lacewingmoor_control::rate_limit::ResponseKind;
 use lacewingmoor_control::stats::LoadReport;
@@ -27,7 +27,7 @@
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 
 /// Size in bytes up to which the body of a health response is accepted.
-const BODY_BYTES_MAX: usize = MessageBounds::of(Message::ProbeResponse).body_bytes;
+const BODY_BYTES_MAX: usize = MessageBounds::of(MessageKind::ProbeResponse).body_bytes;
 
 /// What a probe is for.
 #[copy_value]
@@ -206,9 +206,7 @@
         if let Some(load) = load {
             stats.record_report(now, load);
         }
-        if let Some(remaining) = dialect.warmup_left(&head.headers) {
-            stats.record_confirmation(now, remaining);
-        }
+        stats.record_confirmation(now, dialect.warmup_left(&head.headers));
     });
     if dialect.is_not_run(head.status, &head.headers) {
         return Err(ProbeError::Full);
--- a/entry/src/queue.rs
+++ b/entry/src/queue.rs
@@ -258,7 +258,7 @@
     let (sender, mut receiver) = oneshot::channel();
     let mut pending = search.pending.clone();
     let window = search.deadline.send_window(shared, service_time);
-    pending.limit_to(window, service_time);
+    pending.limit_to_window(window, service_time);
     check_send_times(shared, search, service_time, Queueing::New)?;
     let trip = search.trip(shared);
     let start_probing = {
@@ -307,7 +307,7 @@
             () = &mut shutdown, if !is_shutting_down => {
                 is_shutting_down = true;
                 let window = search.deadline.send_window(shared, service_time);
-                pending.limit_to(window, service_time);
+                pending.limit_to_window(window, service_time);
                 check_wait(shared, search, &pending, service_time)?;
             }
             () = tokio::time::sleep_until(shared.instant(wakes_at)) => {
--- a/entry/src/request_deadline.rs
+++ b/entry/src/request_deadline.rs
@@ -72,7 +72,7 @@
 
     /// Waits until it is known that a shutdown lets no target have the request, because its body is still
     /// coming in when no more connections are accepted.
-    async fn misses_shutdown(&self, shared: &SharedState) {
+    async fn body_comes_too_late(&self, shared: &SharedState) {
         shared.wait_for_phase(Phase::Finishing).await;
         let is_coming_in = self.read_at.get().is_none();
         if !is_coming_in || self.send_window(shared, Duration::ZERO) != SendWindow::Closed {
@@ -91,7 +91,7 @@
         tokio::select! {
             () = deadline => Expiry::Deadline,
             () = shared.wait_for_phase(Phase::Responding) => Expiry::Shutdown,
-            () = self.misses_shutdown(shared) => Expiry::Shutdown,
+            () = self.body_comes_too_late(shared) => Expiry::Shutdown,
         }
     }
 }
--- a/entry/src/store_client.rs
+++ b/entry/src/store_client.rs
@@ -8,7 +8,7 @@
 use http::{Request, StatusCode};
 use http_body_util::BodyExt as _;
 use hyper::body::{Body as _, Incoming};
-use lacewingmoor_control::message_bounds::{Message, MessageBounds};
+use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use lacewingmoor_control::model::Era;
 use lacewingmoor_platform::store;
 use metrics::counter;
@@ -30,10 +30,10 @@
 const BODY_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// Maximum length of a response body.
-const BODY_BYTES_MAX: usize = MessageBounds::of(Message::StoreResponse).body_bytes;
+const BODY_BYTES_MAX: usize = MessageBounds::of(MessageKind::StoreResponse).body_bytes;
 
 /// Maximum length of the records of a listing.
-pub const LISTING_BYTES_MAX: usize = MessageBounds::of(Message::Listing).body_bytes;
+pub const LISTING_BYTES_MAX: usize = MessageBounds::of(MessageKind::Listing).body_bytes;
 
 quick_error! {
     /// Why a call failed.
