Name the three ways to a target without nesting

Cause: whether a service reports its load was asked twice in one function.

Change: one match; no change of behaviour.

Measured: cold_targets, requests and refusals pass.

--- a/entry/src/target_search.rs
+++ b/entry/src/target_search.rs
@@ -385,8 +385,8 @@
         })
     }
 
-    /// Probes `targets` and returns the best candidate of these and `best`. Goes on without a probe if
-    /// the service does not report its load or the budget is used up.
+    /// Probes `targets` and returns the best candidate of these and `best`. Goes on without a probe if the
+    /// budget is used up. If the service does not report its load, probes only for a confirmation.
     async fn probe(
         &self,
         mut targets: Vec<Rc<Target>>,
@@ -395,22 +395,20 @@
         if targets.is_empty() {
             return best;
         }
-        let probe_count = match self.may_report_load() {
-            true => self.take_request_probes(targets.len()),
-            false => 0,
+        let chosen = match self.may_report_load() {
+            true => match self.take_request_probes(targets.len()) {
+                0 => self.choose_without_probe(targets).await,
+                probe_count => {
+                    targets.truncate(probe_count);
+                    return self.probe_all(targets, best).await;
+                }
+            },
+            false => self.choose_confirmed(targets).await,
         };
-        if probe_count == 0 {
-            let chosen = match self.may_report_load() {
-                true => self.choose_without_probe(targets).await,
-                false => self.choose_confirmed(targets).await,
-            };
-            if let Some(candidate) = chosen {
-                self.keep_better(&mut best, candidate);
-            }
-            return best;
+        if let Some(candidate) = chosen {
+            self.keep_better(&mut best, candidate);
         }
-        targets.truncate(probe_count);
-        self.probe_all(targets, best).await
+        best
     }
 
     /// Probes `targets` and returns the best candidate of these and `best`.
