review: foreign entries that cannot be read keep all changes from all entries

Cause: values under servers/ are kept up to 64 KiB each although they cannot be read, and a listing that is longer than 8 MiB with them fails for ever.

Case 11 now has the entry with a sequence, which takes the place of the server's own one for good.

Ruled out: without the entries (TROUBLE=0) none of 1173 requests is run by the old service; the store answers all calls throughout.

--- a/review/src-3/case11.rs
+++ b/review/src-3/case11.rs
@@ -5,6 +5,7 @@
 
 use std::net::SocketAddr;
 use std::sync::Mutex;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::{Duration, Instant};
 
@@ -51,9 +52,9 @@
         }
         thread::sleep(DISRUPTION_AT);
         if has_trouble() {
-            // `version`, `sequence` and `born` are missing.
+            // `version` and `born` are missing.
             let entry = format!(
-                r#"{{"service":"buchung","address":"{}","zone":"{ZONE}","slots":4,"state":"ready","warmupLeftMs":0}}"#,
+                r#"{{"service":"buchung","address":"{}","zone":"{ZONE}","slots":4,"state":"ready","warmupLeftMs":0,"sequence":1000}}"#,
                 schedule[0].addr
             );
             store.put(&format!("servers/{}", schedule[0].id), &entry);
@@ -66,6 +67,7 @@
         record.line("no request was served");
         return 2;
     }
+    record.line(format!("{} has written its own entry {} times", schedule[0].id, schedule[0].sequence.load(Ordering::Relaxed)));
     let mut foreign = 0;
     for server in schedule.iter().chain(&booking) {
         for run in server.runs() {
--- a/review/src-3/harness.rs
+++ b/review/src-3/harness.rs
@@ -372,6 +372,10 @@
     last_lease: u64,
 }
 
+/// Length of a page of a listing.
+const PAGE_ITEMS: usize = 500;
+const PAGE_BYTES: usize = 1 << 20;
+
 /// The platform's store: reads, watches, transactions and leases as PROTOCOL.md has them. It loses nothing,
 /// is never down and serves every read with the latest state.
 pub struct Store {
@@ -444,8 +448,22 @@
     }
 
     pub fn put(&self, key: &str, value: &str) -> u64 {
+        self.put_bytes(key, value.as_bytes())
+    }
+
+    pub fn put_bytes(&self, key: &str, value: &[u8]) -> u64 {
         let mut contents = self.contents.lock().unwrap();
-        let revision = Self::commit(&mut contents, &[(key.to_owned(), value.as_bytes().to_vec(), 0)], &[]);
+        let revision = Self::commit(&mut contents, &[(key.to_owned(), value.to_vec(), 0)], &[]);
+        self.changed.notify_all();
+        revision
+    }
+
+    /// Writes several keys in one transaction, at most 32.
+    pub fn put_together(&self, writes: &[(String, Vec<u8>)]) -> u64 {
+        assert!(writes.len() <= 32, "a transaction has at most 32 entries");
+        let writes: Vec<_> = writes.iter().map(|(key, value)| (key.clone(), value.clone(), 0)).collect();
+        let mut contents = self.contents.lock().unwrap();
+        let revision = Self::commit(&mut contents, &writes, &[]);
         self.changed.notify_all();
         revision
     }
@@ -491,8 +509,15 @@
                 let contents = self.contents.lock().unwrap();
                 let (prefix, after) = (text("prefix"), text("after"));
                 let matching = contents.items.iter().filter(|(key, _)| key.starts_with(&prefix) && (after.is_empty() || **key > after));
-                let items: Vec<String> = matching.map(|(key, item)| item_json(key, item, None)).collect();
-                let (page, more) = (&items[..items.len().min(500)], items.len() > 500);
+                let (mut page, mut page_bytes, mut more) = (Vec::new(), 0, false);
+                for (key, item) in matching {
+                    page_bytes += item.value.len();
+                    if page.len() >= PAGE_ITEMS || (page_bytes > PAGE_BYTES && !page.is_empty()) {
+                        more = true;
+                        break;
+                    }
+                    page.push(item_json(key, item, None));
+                }
                 let revision = contents.revision;
                 ("200 OK", format!(r#"{{"items":[{}],"hasMore":{more},"storeRevision":{revision}}}"#, page.join(",")))
             }
@@ -979,6 +1004,9 @@
             let load = self.load();
             let leaving = self.is_leaving.load(Ordering::Relaxed) || self.is_draining.load(Ordering::Relaxed);
             let mut fields = vec![("X-Lacewingmoor-Instance-Id", self.id.as_str()), ("X-Lacewingmoor-Server-Load", load.as_str())];
+            if leaving {
+                fields.push(("Server-Leaving", "1"));
+            }
             if head.target() == "/health" {
                 let status = if leaving { "503 Service Unavailable" } else { "200 OK" };
                 reader.stream.write_all(&response(status, &fields, b""))?;
