review: a configuration with ranks above 1000 is ignored as a whole

Cause: the check of a bundle allows priorities from 0 to 1000, and a bundle with one above it is not applied at all, although the store accepted it.

Ruled out: with 51 routes (TROUBLE=0) the added route is served in time.

--- a/review/src-3/harness.rs
+++ b/review/src-3/harness.rs
@@ -658,18 +658,20 @@
     child: Child,
 }
 
-/// Fields of the settings of a small deployment.
+/// Fields of the settings of a deployment; at first those of isarbrunn-bahnen.
 pub struct Deployment {
     pub folder: PathBuf,
     pub store: SocketAddr,
     pub seeds: Vec<SocketAddr>,
+    pub config_apply: Duration,
+    pub budget_extra: u32,
 }
 
 impl Deployment {
     pub fn new(store: SocketAddr) -> Self {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        Self { folder, store, seeds: Vec::new() }
+        Self { folder, store, seeds: Vec::new(), config_apply: Duration::from_millis(2000), budget_extra: 64 }
     }
 
     /// Starts an entry.
@@ -693,10 +695,10 @@
             ("seeds|json", format!("[{}]", seeds.join(","))),
             ("platform.address", self.store.to_string()),
             ("bounds.graceS", "6".into()),
-            ("bounds.configApplyMs", "2000".into()),
+            ("bounds.configApplyMs", self.config_apply.as_millis().to_string()),
             ("bounds.probesPerS", "60".into()),
             ("bounds.retryBudgetRatio", "0.2".into()),
-            ("bounds.budgetExtra", "64".into()),
+            ("bounds.budgetExtra", self.budget_extra.to_string()),
             ("bounds.budgetWindowS", "10".into()),
             ("limits.cpuShare", "0.2".into()),
             ("limits.linkMbps", "1000.0".into()),
@@ -1055,8 +1057,13 @@
 
 /// Returns a route of a configuration.
 pub fn route_json(name: &str, prefix: &str, kind: &str, service: &str) -> String {
+    ranked_route_json(name, prefix, kind, service, 1)
+}
+
+/// Returns a route of a configuration with its rank.
+pub fn ranked_route_json(name: &str, prefix: &str, kind: &str, service: &str, priority: usize) -> String {
     format!(
-        r#"{{"name":"{name}","prefix":"{prefix}","kind":"{kind}","timeoutMs":2000,"targetLatencyMs":400,"priority":1,"service":"{service}","maxAttempts":2,"allowedRegions":[]}}"#
+        r#"{{"name":"{name}","prefix":"{prefix}","kind":"{kind}","timeoutMs":2000,"targetLatencyMs":400,"priority":{priority},"service":"{service}","maxAttempts":2,"allowedRegions":[]}}"#
     )
 }
 
