review: without a last tenant, every key is accepted and passed on

Cause: an empty list of tenants counts as a deployment without tenants, so no request needs a key and none is removed from it.

--- a/review/src-3/harness.rs
+++ b/review/src-3/harness.rs
@@ -665,13 +665,15 @@
     pub seeds: Vec<SocketAddr>,
     pub config_apply: Duration,
     pub budget_extra: u32,
+    /// Further fields, by their names in the template.
+    pub fields: Vec<(&'static str, &'static str)>,
 }
 
 impl Deployment {
     pub fn new(store: SocketAddr) -> Self {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
-        Self { folder, store, seeds: Vec::new(), config_apply: Duration::from_millis(2000), budget_extra: 64 }
+        Self { folder, store, seeds: Vec::new(), config_apply: Duration::from_millis(2000), budget_extra: 64, fields: Vec::new() }
     }
 
     /// Starts an entry.
@@ -709,6 +711,9 @@
             for (name, value) in &fields {
                 text = text.replace(&format!("{{{{{name}}}}}"), value);
             }
+            for (name, value) in &self.fields {
+                text = text.replace(&format!("{{{{{name}}}}}"), value);
+            }
             // A field without a value returns nothing.
             while let Some(start) = text.find("{{") {
                 let end = text[start..].find("}}").map_or(text.len(), |end| start + end + 2);
@@ -835,6 +840,8 @@
     pub path: String,
     pub id: String,
     pub deadline: Duration,
+    /// Further fields, each with its line end.
+    pub fields: String,
     pub body: Vec<u8>,
 }
 
@@ -860,6 +867,7 @@
             path: path.into(),
             id: next_id(),
             deadline: Duration::from_secs(3),
+            fields: String::new(),
             body: Vec::new(),
         }
     }
@@ -872,6 +880,7 @@
         if !self.body.is_empty() || self.method == "POST" {
             let _ = write!(text, "Content-Length: {}\r\n", self.body.len());
         }
+        text.push_str(&self.fields);
         text.push_str("\r\n");
         let mut bytes = text.into_bytes();
         bytes.extend_from_slice(&self.body);
@@ -917,6 +926,9 @@
     pub method: String,
     pub path: String,
     pub body_bytes: usize,
+    /// Key that was passed on, and tenant that the system named.
+    pub authorization: Option<String>,
+    pub tenant: Option<String>,
     /// False if the server rejected it.
     pub ran: bool,
 }
@@ -1024,6 +1036,8 @@
                 method: head.method().to_owned(),
                 path: head.target().to_owned(),
                 body_bytes: body.len(),
+                authorization: head.get("authorization").map(str::to_owned),
+                tenant: head.get("x-lacewingmoor-tenant").map(str::to_owned),
                 ran: is_expected,
             });
             fields.push(("X-Lacewingmoor-Attempt-Id", id.as_str()));
