--- a/review/src-3/case13.rs
+++ b/review/src-3/case13.rs
@@ -1,4 +1,4 @@
-//! The configuration grows by many routes, each with a rank of its own.
+//! A version takes away the last tenant.
 
 mod harness;
 
@@ -11,35 +11,44 @@
 
 /// Time after its acknowledgement within which a configuration is in force, as in the site file.
 const CONFIG_APPLY: Duration = Duration::from_millis(3000);
-const BUDGET_EXTRA: u32 = 335;
+const BUDGET_EXTRA: u32 = 170;
 
-/// Routes by which the configuration grows. The site file has up to 1400.
-const ROUTES: usize = 1100;
+const CHANGE_AT: Duration = Duration::from_secs(4);
+const RUN_TIME: Duration = Duration::from_secs(16);
 
-/// Time for which requests are sent after the configuration has to be in force.
-const RUN_TIME: Duration = Duration::from_secs(10);
+/// Key of the tenant of the first version.
+const HELD_KEY: &str = "9b1f0c7e55d2";
+
+/// Key that no configuration ever holds.
+const UNKNOWN_KEY: &str = "000000000000";
 
 fn main() {
     std::process::exit(run());
 }
 
-/// Returns the configuration with the first route, and `count` further ones that rank after it.
-fn config(version: u64, count: usize) -> String {
-    let routes: Vec<String> = (0..=count)
-        .map(|i| ranked_route_json(&format!("r-{i}"), &format!("/r{i}/"), "idempotent", "lookup-svc", i))
-        .collect();
-    config_json(version, &["lookup-svc"], &[(HOST, &routes)])
+fn config(version: u64, tenants: &str) -> String {
+    let routes = [route_json("round-fetch", "/rounds/", "idempotent", "quizmaster-feed")];
+    let text = config_json(version, &["quizmaster-feed"], &[(HOST, &routes)]);
+    format!("{},\"tenants\":{tenants}}}", text.strip_suffix('}').unwrap())
 }
 
 fn run() -> i32 {
     let record = Record::open();
     let store = Store::start();
-    store.put("op/config", &config(7, 10));
+    let tenants = |key: &str| format!(r#"[{{"name":"blue-bar","apiKeys":["{key}"],"priority":0,"ratePerS":500,"burst":500}}]"#);
+    store.put("op/config", &config(7, &tenants(HELD_KEY)));
     let work = Duration::from_millis(20);
-    let servers: Vec<_> = (0..3).map(|i| Server::start(&store, &record, &format!("i-lookup-{i}"), "lookup-svc", work)).collect();
+    let servers: Vec<_> = (0..3).map(|i| Server::start(&store, &record, &format!("i-feed-{i}"), "quizmaster-feed", work)).collect();
     let mut deployment = Deployment::new(store.addr);
     deployment.config_apply = CONFIG_APPLY;
     deployment.budget_extra = BUDGET_EXTRA;
+    deployment.fields = vec![
+        ("bounds.quotaWindowS", "5"),
+        ("bounds.quotaOver", "0.1"),
+        ("bounds.quotaSlack", "20"),
+        ("bounds.strictRevoke", "false"),
+        ("bounds.revokeMs", "5000"),
+    ];
     let entries: Vec<_> = (0..3).map(|i| deployment.start(&format!("edge-oberland-a-{}", i + 1))).collect();
     if !entries.iter().all(|entry| entry.wait_ready(Duration::from_secs(10))) {
         record.line("an entry is not ready in time");
@@ -47,42 +56,52 @@
     }
     // The machines are in touch: contactMs of the site is 4000.
     thread::sleep(Duration::from_secs(6));
-    // Without the disruption, the change adds a few routes only.
-    let growth = if has_trouble() { ROUTES } else { 50 };
-    let text = config(9, growth);
-    store.put("op/config", &text);
-    let acknowledged_at = Instant::now();
-    record.line(format!("the store acknowledges r9 with {} routes, ranked 0 to {growth}; {} bytes", growth + 1, text.len()));
-    let (mut first, mut added, mut refused) = (0, 0, 0);
-    while acknowledged_at.elapsed() < CONFIG_APPLY + RUN_TIME {
+    let started = Instant::now();
+    let mut acknowledged_at = None;
+    let mut served_before = 0;
+    let mut sent = Vec::new();
+    while started.elapsed() < RUN_TIME {
+        if acknowledged_at.is_none() && started.elapsed() > CHANGE_AT {
+            // Without the disruption, the tenant stays and gets another key.
+            let tenants = if has_trouble() { "[]".to_owned() } else { tenants("5d0e7a11c3f4") };
+            store.put("op/config", &config(9, &tenants));
+            acknowledged_at = Some(Instant::now());
+            record.line(format!("the store acknowledges r9 with \"tenants\":{tenants}"));
+        }
         for (i, entry) in entries.iter().enumerate() {
-            for path in ["/r0/2f", "/r42/2f"] {
-                let call = Call::new("GET", HOST, path);
-                let sent_after = acknowledged_at.elapsed();
+            for key in [HELD_KEY, UNKNOWN_KEY] {
+                let mut call = Call::new("GET", HOST, "/rounds/2f");
+                call.fields = format!("Authorization: Bearer {key}\r\n");
+                let at = Instant::now();
                 let status = call.send(entry.front).map_or(0, |answer| answer.status);
-                record.line(format!("GET {path} {} sent to entry {} {} ms after the acknowledgement: {status}", call.id, i + 1, sent_after.as_millis()));
-                match (path, status) {
-                    ("/r0/2f", 200) => first += 1,
-                    ("/r42/2f", _) if sent_after > CONFIG_APPLY => {
-                        added += 1;
-                        refused += usize::from(status == 404);
-                    }
-                    _ => {}
-                }
+                record.line(format!("GET {} with key {key} sent to entry {}: {status}", call.id, i + 1));
+                served_before += u32::from(acknowledged_at.is_none() && status == 200);
+                sent.push((call.id, key, at));
             }
         }
-        thread::sleep(Duration::from_millis(50));
+        thread::sleep(Duration::from_millis(40));
     }
-    let runs: usize = servers.iter().map(|server| server.runs().len()).sum();
-    record.line(format!("{first} requests on the first route were answered with 200; servers ran {runs}"));
-    if first == 0 {
+    if served_before == 0 {
+        record.line("no request was served before the change");
         return 2;
     }
-    for entry in &entries {
-        let log = entry.log();
-        if let Some(line) = log.lines().find(|line| line.contains("store_item_unusable")) {
-            record.line(format!("log of {}: {}", entry.name, &line[..line.len().min(220)]));
+    let in_force_at = acknowledged_at.unwrap() + CONFIG_APPLY;
+    let runs: Vec<Arrival> = servers.iter().flat_map(|server| server.runs()).collect();
+    let (mut unknown, mut dropped, mut passed_on) = (0, 0, 0);
+    for (id, key, at) in &sent {
+        let Some(run) = runs.iter().find(|run| run.id == *id) else {
+            continue;
+        };
+        let has_key = run.authorization.is_some();
+        passed_on += usize::from(has_key);
+        if *key == UNKNOWN_KEY {
+            unknown += 1;
+            record.line(format!("ROUTE: {id} ran with the key {key}, which no configuration ever held; passed on to the server: {has_key}"));
+        } else if *at > in_force_at {
+            dropped += 1;
         }
     }
-    verdict(&record, refused > 0, &format!("{refused} of {added} requests on an added route were refused with 404 later than configApplyMs"))
+    record.line(format!("{dropped} requests ran with the key that r9 took away, sent later than configApplyMs after the acknowledgement"));
+    record.line(format!("the key itself reached a server with {passed_on} requests"));
+    verdict(&record, unknown > 0, &format!("{unknown} requests ran whose key no configuration ever held"))
 }
