--- a/review/src-3/harness.rs
+++ b/review/src-3/harness.rs
@@ -645,6 +645,12 @@
     Ipv4Addr::new(127, 128 | (high & 63), low, 1 + (count % 250) as u8)
 }
 
+/// Returns addresses with ports that nobody listens on.
+fn free_addrs<const COUNT: usize>(ip: Ipv4Addr) -> [SocketAddr; COUNT] {
+    let listeners: [TcpListener; COUNT] = std::array::from_fn(|_| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("a bound address"))
+}
+
 // --- Entries ------------------------------------------------------------------------------------------
 
 /// A running entry, started as the deploy file says.
@@ -669,6 +675,12 @@
     pub fields: Vec<(&'static str, &'static str)>,
 }
 
+impl Drop for Deployment {
+    fn drop(&mut self) {
+        let _ = std::fs::remove_dir_all(&self.folder);
+    }
+}
+
 impl Deployment {
     pub fn new(store: SocketAddr) -> Self {
         let folder = std::env::temp_dir().join(format!("review-3-{}", std::process::id()));
@@ -679,8 +691,7 @@
     /// Starts an entry.
     pub fn start(&mut self, name: &str) -> Entry {
         let ip = free_ip();
-        let addr = |port: u16| SocketAddr::from((ip, port));
-        let (front, ready, control) = (addr(8548), addr(8542), addr(8544));
+        let [front, ready, control, metrics] = free_addrs(ip);
         if self.seeds.len() < 3 {
             self.seeds.push(control);
         }
@@ -722,6 +733,8 @@
             text
         };
         let template = std::fs::read_to_string("deploy/entry.yaml.in").expect("the template");
+        // The port of the metrics may be taken on all addresses of the machine.
+        let template = template.replace("{{ip}}:9100", &metrics.to_string());
         let settings = self.folder.join(format!("{name}.yaml"));
         std::fs::write(&settings, fill(&template)).expect("the settings can be written");
         let deploy = std::fs::read_to_string("deploy/system.toml").expect("the deploy file");
@@ -955,7 +968,7 @@
 
 impl Server {
     pub fn start(store: &Arc<Store>, record: &Arc<Record>, id: &str, service: &str, work: Duration) -> Arc<Self> {
-        let listener = TcpListener::bind((free_ip(), 8080)).expect("a port for a server");
+        let listener = TcpListener::bind((free_ip(), 0)).expect("a port for a server");
         let server = Arc::new(Self {
             id: id.into(),
             service: service.into(),
