--- a/review/src-3/case12.rs
+++ b/review/src-3/case12.rs
@@ -102,6 +102,7 @@
     let new_runs: usize = new.iter().map(|server| server.runs().len()).sum();
     record.line(format!("belegung-neu ran {new_runs} requests"));
     for entry in &entries {
+        record.line(format!("{} is ready: {}", entry.name, entry.is_ready()));
         for line in entry.log().lines().filter(|line| line.contains("source_lost") || line.contains("follower_rejected")).take(3) {
             record.line(format!("log of {}: {line}", entry.name));
         }
