An empty list of workspaces admits nobody, a list that is left out everybody

Cause: an absent list, null and an empty one were all decoded to an empty vector, and admission, the check before each send, the removal of the key, the counts and the status page each asked whether it was empty.

Change: `Field` keeps absent, null and present apart from the text to the checked bundle. `KeyUse::of` in control/ is the only place that decides by it whether requests need keys; all paths ask it.

--- a/bundle/src/check/mod.rs
+++ b/bundle/src/check/mod.rs
@@ -134,13 +134,15 @@
         }
         let names = raw.routes.iter().enumerate();
         self.check_unique(names.map(|(i, r)| (r.name.as_str(), format!("routes[{i}].name"))));
-        let (workspaces, workspaces_by_key) = self.check_workspaces(&raw.workspaces);
+        let raw_workspaces = raw.workspaces.value().map_or(&[][..], Vec::as_slice);
+        let (workspaces, workspaces_by_key) = self.check_workspaces(raw_workspaces);
         Bundle {
             version,
             routes_by_host: group_by_host(&routes),
             services,
             routes,
             workspaces,
+            workspaces_field: raw.workspaces.state(),
             workspaces_by_key,
             warnings: Vec::new(),
             limits: self.check_limits(&raw.limits),
--- a/bundle/src/lib.rs
+++ b/bundle/src/lib.rs
@@ -3,12 +3,14 @@
 mod check;
 mod diff;
 mod error;
+mod field;
 mod key;
 mod model;
 mod raw;
 
 pub use diff::{Difference, diff};
 pub use error::{Error, ValidationError};
+pub use field::{Field, FieldState};
 pub use key::{KeyDigest, RawKey};
 pub use model::*;
 pub use raw::*;
--- a/bundle/src/model.rs
+++ b/bundle/src/model.rs
@@ -5,7 +5,7 @@
 
 use lacewingmoor_derive::{copy_value, value};
 
-use crate::{KeyDigest, Map};
+use crate::{FieldState, KeyDigest, Map};
 
 /// Version of a bundle; each accepted bundle has a greater version than the one before it.
 pub type Version = u64;
@@ -34,8 +34,10 @@
     pub services: Vec<Service>,
     /// Routes, indexed by [`RouteId`].
     pub routes: Vec<Route>,
-    /// Workspaces, indexed by [`WorkspaceId`]; empty if requests need no key.
+    /// Workspaces, indexed by [`WorkspaceId`].
     pub workspaces: Vec<Workspace>,
+    /// How the document lists them, which decides whether requests need keys.
+    pub workspaces_field: FieldState,
     /// Limits on requests and connections of callers.
     pub limits: Limits,
     /// What the bundle contains that this version does not know, for the log.
--- a/bundle/src/raw.rs
+++ b/bundle/src/raw.rs
@@ -2,7 +2,7 @@
 
 use lacewingmoor_derive::raw;
 
-use crate::RawKey;
+use crate::{Field, RawKey};
 
 /// A whole bundle document.
 #[raw]
@@ -14,9 +14,10 @@
     pub services: Vec<RawService>,
     /// Routes to services.
     pub routes: Vec<RawRoute>,
-    /// Workspaces; omitted or empty if requests need no key.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub workspaces: Vec<RawWorkspace>,
+    /// Workspaces. Requests need no key only if the field is omitted: with an empty list or null, no key is
+    /// known.
+    #[serde(default, skip_serializing_if = "Field::is_absent")]
+    pub workspaces: Field<Vec<RawWorkspace>>,
     /// Limits on requests and connections of callers.
     pub limits: RawLimits,
 }
--- a/control/src/authorization.rs
+++ b/control/src/authorization.rs
@@ -5,10 +5,33 @@
 
 use std::time::Duration;
 
+use lacewingmoor_bundle::{Bundle, FieldState};
 use lacewingmoor_derive::copy_value;
 
 use crate::bounds::KeyBounds;
 
+/// Whether requests need keys.
+#[copy_value]
+pub enum KeyUse {
+    /// Requests need no key. A key that a request carries is not an entry's business.
+    Unused,
+    /// Requests need the key of a workspace, except on public routes. Targets never get a key.
+    Required,
+}
+
+impl KeyUse {
+    /// Returns whether requests need keys by `bundle`.
+    ///
+    /// Fault: the last workspace of a bundle is removed. A list without workspaces admits no key; only a
+    /// bundle without the list needs none.
+    pub fn of(bundle: &Bundle) -> Self {
+        match bundle.workspaces_field {
+            FieldState::Absent => Self::Unused,
+            FieldState::Null | FieldState::Present => Self::Required,
+        }
+    }
+}
+
 /// What to do with a request.
 #[copy_value]
 pub enum KeyDecision {
@@ -25,6 +48,8 @@
 /// What an entry knows when it decides about a key.
 #[copy_value]
 pub struct KeyFacts {
+    /// Whether requests need keys by the active bundle.
+    pub key_use: KeyUse,
     /// True if a workspace of the active bundle has the key. False also if the request has none.
     pub is_known: bool,
     /// True if the route needs no key.
@@ -38,6 +63,10 @@
 impl KeyFacts {
     /// Decides what to do with the request.
     pub fn decide(&self, bounds: &KeyBounds) -> KeyDecision {
+        match self.key_use {
+            KeyUse::Unused => return KeyDecision::Anonymous,
+            KeyUse::Required => {}
+        }
         let is_trusted = !bounds.strict || self.view_age <= self.withdrawn_within(bounds);
         match (self.is_known, self.is_public) {
             (true, _) if is_trusted => KeyDecision::ForWorkspace,
--- a/control/tests/authorization.rs
+++ b/control/tests/authorization.rs
@@ -5,11 +5,12 @@
 
 use std::time::Duration;
 
-use common::ms;
+use common::{bundle, ms};
+use lacewingmoor_bundle::FieldState;
 use lacewingmoor_control::authorization::KeyDecision::{
     self, Anonymous, ForWorkspace, Refuse, RefuseUnconfirmed,
 };
-use lacewingmoor_control::authorization::{KeyFacts, SendDecision, decide_send};
+use lacewingmoor_control::authorization::{KeyFacts, KeyUse, SendDecision, decide_send};
 use lacewingmoor_control::bounds::KeyBounds;
 use rstest::rstest;
 
@@ -48,6 +49,7 @@
 ) {
     for (is_public, expected) in [(false, private), (true, public)] {
         let facts = KeyFacts {
+            key_use: KeyUse::Required,
             is_known,
             is_public,
             view_age: ms(view_age_ms),
@@ -57,6 +59,29 @@
     }
 }
 
+/// A bundle whose last workspace was removed admitted everybody.
+#[rstest]
+#[case::absent(FieldState::Absent, KeyUse::Unused, Anonymous)]
+#[case::null(FieldState::Null, KeyUse::Required, Refuse)]
+#[case::empty(FieldState::Present, KeyUse::Required, Refuse)]
+fn only_a_bundle_without_the_list_needs_no_key(
+    #[case] field: FieldState,
+    #[case] key_use: KeyUse,
+    #[case] decision: KeyDecision,
+) {
+    let mut bundle = (*bundle(1, &[])).clone();
+    bundle.workspaces_field = field;
+    assert_eq!(KeyUse::of(&bundle), key_use);
+    let facts = KeyFacts {
+        key_use,
+        is_known: false,
+        is_public: false,
+        view_age: Duration::ZERO,
+        apply_deadline: ms(3000),
+    };
+    assert_eq!(facts.decide(&STRICT), decision);
+}
+
 #[rstest]
 #[case::same(ForWorkspace, Some("a"), SendDecision::Send)]
 #[case::moved(ForWorkspace, Some("b"), SendDecision::Moved)]
--- a/control/tests/common/mod.rs
+++ b/control/tests/common/mod.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use lacewingmoor_bundle::{
-    Bundle, RawBundle, RawDestination, RawLimits, RawRepeat, RawRoute, RawService,
+    Bundle, Field, RawBundle, RawDestination, RawLimits, RawRepeat, RawRoute, RawService,
 };
 use lacewingmoor_control::model::{Change, Entry, Era, RecordKey, RecordValue, Revision, Target};
 use lacewingmoor_control::selection::Locality;
@@ -44,7 +44,7 @@
             }],
             home_regions: home_regions.iter().map(|h| (*h).to_owned()).collect(),
         }],
-        workspaces: Vec::new(),
+        workspaces: Field::Absent,
         limits: RawLimits {
             head_bytes_max: 16_384,
             body_bytes_max: 1 << 20,
--- a/entry/src/attempt.rs
+++ b/entry/src/attempt.rs
@@ -12,6 +12,7 @@
 use lacewingmoor_bundle::Repeat;
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::attempt::Outcome;
+use lacewingmoor_control::authorization::KeyUse;
 use lacewingmoor_control::message_bounds::{MessageBounds, MessageKind};
 use lacewingmoor_control::model::{Target, TargetId};
 use lacewingmoor_control::rate_limit::ResponseKind;
@@ -181,8 +182,11 @@
         let headers = request.headers_mut();
         let dialect = shared.settings.dialect;
         dialect.set_target_fields(headers, remaining, target_id);
-        // The bundle that admitted the request may be older and have no workspaces.
-        if shared.bundle().is_some_and(|b| !b.workspaces.is_empty()) {
+        // By the bundle that admitted the request, it may have needed no key.
+        if shared
+            .bundle()
+            .is_some_and(|b| KeyUse::of(&b) == KeyUse::Required)
+        {
             dialect.remove_key(headers);
         }
         request
--- a/entry/src/authorization.rs
+++ b/entry/src/authorization.rs
@@ -5,7 +5,9 @@
 
 use http::{HeaderMap, StatusCode};
 use lacewingmoor_bundle::{Bundle, KeyDigest, Route, RouteId, WorkspaceId, WorkspaceName};
-use lacewingmoor_control::authorization::{KeyDecision, KeyFacts, SendDecision, decide_send};
+use lacewingmoor_control::authorization::{
+    KeyDecision, KeyFacts, KeyUse, SendDecision, decide_send,
+};
 use slog::warn;
 
 use crate::response::LocalResponse;
@@ -45,12 +47,12 @@
     route: &Route,
     headers: &HeaderMap,
 ) -> Result<Option<Identity>, LocalResponse> {
-    if bundle.workspaces.is_empty() {
+    if KeyUse::of(bundle) == KeyUse::Unused {
         return Ok(None);
     }
     let key = shared.settings.dialect.key(headers).map(KeyDigest::of);
     let known = key.and_then(|key| Some((key, bundle.workspace(&key)?)));
-    match (decide(shared, known.is_some(), route), known) {
+    match (decide(shared, bundle, known.is_some(), route), known) {
         (KeyDecision::ForWorkspace, Some((key, workspace_id))) => Ok(Some(Identity {
             workspace_id,
             name: bundle.workspaces[workspace_id].name.clone(),
@@ -81,17 +83,15 @@
     let route = current_route(&bundle, admitted, route_id);
     let Some(identity) = identity else {
         // Its key, if it has one, was not known when it was admitted. The repeated request is judged anew.
-        return match bundle.workspaces.is_empty() || route.public {
-            true => Ok(()),
-            false => Err(LocalResponse::not_run("key needed", CHANGED_RETRY_AFTER)),
+        return match decide(shared, &bundle, false, route) {
+            KeyDecision::ForWorkspace | KeyDecision::Anonymous => Ok(()),
+            KeyDecision::Refuse | KeyDecision::RefuseUnconfirmed => {
+                Err(LocalResponse::not_run("key needed", CHANGED_RETRY_AFTER))
+            }
         };
     };
     let current = current_workspace(&bundle, identity);
-    // Without workspaces no request needs a key, and none is handled for one.
-    let decision = match bundle.workspaces.is_empty() {
-        true => KeyDecision::Anonymous,
-        false => decide(shared, current.is_some(), route),
-    };
+    let decision = decide(shared, &bundle, current.is_some(), route);
     match decide_send(decision, &identity.name, current.as_deref()) {
         SendDecision::Send => Ok(()),
         SendDecision::Withdrawn => Err(refused("key withdrawn")),
@@ -115,9 +115,10 @@
     Some(bundle.workspaces[id].name.clone())
 }
 
-fn decide(shared: &SharedState, is_known: bool, route: &Route) -> KeyDecision {
+fn decide(shared: &SharedState, bundle: &Bundle, is_known: bool, route: &Route) -> KeyDecision {
     let reloadable = shared.reloadable();
     let facts = KeyFacts {
+        key_use: KeyUse::of(bundle),
         is_known,
         is_public: route.public,
         view_age: shared.view_age(),
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -13,6 +13,7 @@
 use lacewingmoor_control::Timestamp;
 use lacewingmoor_control::admission::{PendingRequest, Priority, retry_after};
 use lacewingmoor_control::attempt::{Attempts, FailureAction, Outcome, hedge_at};
+use lacewingmoor_control::authorization::KeyUse;
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget, RetryReason};
 use lacewingmoor_control::locality::{LeaveShares, Place, Reason};
 use lacewingmoor_control::message_bounds::MessageBounds;
@@ -267,7 +268,7 @@
         let dialect = self.shared.settings.dialect;
         let workspace = self.identity.as_ref().map(|identity| &*identity.name);
         dialect.set_workspace(&mut head.headers, workspace);
-        if !plan.bundle.workspaces.is_empty() {
+        if KeyUse::of(&plan.bundle) == KeyUse::Required {
             dialect.remove_key(&mut head.headers);
         }
         let outbound = OutboundRequest {
@@ -390,7 +391,7 @@
         state
             .retry_budget
             .record_request(self.shared.now(), &self.shared.reloadable().retry);
-        if !bundle.workspaces.is_empty() {
+        if KeyUse::of(bundle) == KeyUse::Required {
             let flow = self.identity.as_ref().map(|identity| identity.name.clone());
             let queue = &self.shared.queue;
             queue.record_arrival(self.shared.now(), &service.name, &flow);
@@ -562,10 +563,10 @@
         self.record_failed_attempt(result)
     }
 
-    /// Counts the request for its workspace, if the bundle has any.
+    /// Counts the request for its workspace, if requests need keys.
     fn record_workspace(&self, is_answered: bool) {
         if let Some((bundle, _)) = &self.route
-            && !bundle.workspaces.is_empty()
+            && KeyUse::of(bundle) == KeyUse::Required
         {
             let name = self.identity.as_ref().map(|identity| &*identity.name);
             let mut labels = self.shared.workspace_labels.borrow_mut();
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use lacewingmoor_bundle::{Bundle, Service};
+use lacewingmoor_control::authorization::KeyUse;
 use lacewingmoor_control::locality::ZoneLoad;
 use lacewingmoor_control::rollout::exposure::VersionChoice;
 use lacewingmoor_control::selection::Selector;
@@ -102,9 +103,9 @@
     })
 }
 
-/// Returns the part on workspaces; null if the bundle has none.
+/// Returns the part on workspaces; null if requests need no key.
 fn workspaces(shared: &SharedState, bundle: Option<&Rc<Bundle>>) -> Value {
-    let Some(bundle) = bundle.filter(|bundle| !bundle.workspaces.is_empty()) else {
+    let Some(bundle) = bundle.filter(|bundle| KeyUse::of(bundle) == KeyUse::Required) else {
         return Value::Null;
     };
     let longest = shared.queue.longest_by_workspace(WORKSPACES_MAX);
--- a/entry/tests/common/mod.rs
+++ b/entry/tests/common/mod.rs
@@ -8,7 +8,7 @@
 
 use bytes::Bytes;
 use http::Method;
-use lacewingmoor_bundle::{RawBundle, RawKey, RawWorkspace};
+use lacewingmoor_bundle::{Field, RawBundle, RawKey, RawWorkspace};
 use lacewingmoor_control::model::Target;
 use lacewingmoor_standin::caller::{CallerRequest, ReceivedResponse, RequestResult, send_request};
 use lacewingmoor_standin::entry::EntryProcess;
@@ -151,7 +151,7 @@
         home_regions: Vec::new(),
     };
     RawBundle {
-        workspaces: limits.iter().map(workspace).collect(),
+        workspaces: Field::Present(limits.iter().map(workspace).collect()),
         ..bundle(version, &[lanes()])
     }
 }
--- a/entry/tests/workspaces.rs
+++ b/entry/tests/workspaces.rs
@@ -9,7 +9,7 @@
 
 use common::{expect_response, fleet, lanes, read, until, write};
 use http::HeaderMap;
-use lacewingmoor_bundle::{RawBundle, RawKey, RawWorkspace};
+use lacewingmoor_bundle::{Field, RawBundle, RawKey, RawWorkspace};
 use lacewingmoor_control::model::Revision;
 use lacewingmoor_platform::headers::WORKSPACE;
 use lacewingmoor_platform::registry::CONFIG_KEY;
@@ -46,7 +46,7 @@
     public.path_prefix = "/lanes/public/".into();
     public.public = true;
     bundle.routes.push(public);
-    bundle.workspaces = workspaces;
+    bundle.workspaces = Field::Present(workspaces);
     bundle
 }
 
@@ -638,16 +638,24 @@
 }
 
 /// A bundle: whether the first route and that of `/lanes/public/` are public, and its workspaces.
-type Bundles = [(bool, bool, Vec<RawWorkspace>); 2];
+type Bundles = [(bool, bool, Field<Vec<RawWorkspace>>); 2];
+
+fn listed(workspaces: &[RawWorkspace]) -> Field<Vec<RawWorkspace>> {
+    Field::Present(workspaces.to_vec())
+}
 
 /// The second bundle comes after the head was accepted and before the body is complete. Requests were sent
 /// by the rules of the first one.
 #[rstest]
-#[case::workspaces_come([(false, true, vec![]), (false, true, both())], PRIVATE, KEY_A, "503")]
-#[case::workspaces_come_public([(false, true, vec![]), (false, true, both())], PUBLIC, KEY_A, "200")]
-#[case::becomes_private([(false, true, both()), (false, false, both())], PUBLIC, "none", "503")]
-#[case::stays_public([(false, true, both()), (false, true, both())], PUBLIC, "none", "200")]
-#[case::becomes_public([(false, true, both()), (true, true, both()[..1].to_vec())], PRIVATE, KEY_B, "503")]
+#[case::workspaces_come([(false, true, Field::Absent), (false, true, listed(&both()))], PRIVATE, KEY_A, "503")]
+#[case::workspaces_come_public([(false, true, Field::Absent), (false, true, listed(&both()))], PUBLIC, KEY_A, "200")]
+#[case::becomes_private([(false, true, listed(&both())), (false, false, listed(&both()))], PUBLIC, "none", "503")]
+#[case::stays_public([(false, true, listed(&both())), (false, true, listed(&both()))], PUBLIC, "none", "200")]
+#[case::becomes_public([(false, true, listed(&both())), (true, true, listed(&both()[..1]))], PRIVATE, KEY_B, "503")]
+#[case::empty_list_comes([(false, true, Field::Absent), (false, true, listed(&[]))], PRIVATE, KEY_A, "503")]
+#[case::null_comes([(false, true, Field::Absent), (false, true, Field::Null)], PRIVATE, KEY_A, "503")]
+#[case::list_is_emptied([(false, true, listed(&both())), (false, true, listed(&[]))], PRIVATE, KEY_B, "401")]
+#[case::list_is_left_out([(false, true, listed(&both())), (false, true, Field::Absent)], PRIVATE, KEY_B, "503")]
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn waiting_request_is_sent_by_the_newest_bundle(
     #[case] bundles: Bundles,
@@ -659,7 +667,8 @@
     let entry = &fleet.entries[0];
     let [first, second] = [(2, &bundles[0]), (3, &bundles[1])].map(|(version, content)| {
         let (lanes, public, workspaces) = content.clone();
-        let mut bundle = bundle_with(version, workspaces);
+        let mut bundle = bundle_with(version, Vec::new());
+        bundle.workspaces = workspaces;
         bundle.routes[0].public = lanes;
         bundle.routes.last_mut().expect("a route").public = public;
         bundle
--- a/standin/src/fleet.rs
+++ b/standin/src/fleet.rs
@@ -6,7 +6,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
-use lacewingmoor_bundle::{RawBundle, RawDestination, RawLimits, RawRepeat, RawRoute, RawService};
+use lacewingmoor_bundle::{
+    Field, RawBundle, RawDestination, RawLimits, RawRepeat, RawRoute, RawService,
+};
 use lacewingmoor_control::model::Target;
 
 use crate::entry::{EntryProcess, EntrySettings};
@@ -325,7 +327,7 @@
         version,
         services: raw_services.collect(),
         routes: reads.chain(writes).collect(),
-        workspaces: Vec::new(),
+        workspaces: Field::Absent,
         limits: RawLimits {
             head_bytes_max: 16 * 1024,
             body_bytes_max: 1 << 20,
