A warm-up rate near zero no longer ends the process

Callers would see: once a target that is warming up gets its first request, the entry is gone, and so is each one that replaces it.

Cause: the interval between two requests, 1 / rate, was converted with `Duration::from_secs_f64`, which panics above 2^64 s. The configuration may contain any rate of 0 or more.

Change: such an interval is the longest one, and the sum with the time saturates.

Evidence: control/limits `target_with_the_lowest_rate_gets_one_request` failed before: "cannot convert float seconds to Duration: value is either too big or NaN".

--- a/control/src/budget.rs
+++ b/control/src/budget.rs
@@ -107,7 +107,8 @@
         if !self.allows(now, rate_per_s) {
             return false;
         }
-        self.next_at = now + Duration::from_secs_f64(1.0 / rate_per_s);
+        let interval = Duration::try_from_secs_f64(1.0 / rate_per_s).unwrap_or(Duration::MAX);
+        self.next_at = now.saturating_add(interval);
         true
     }
 
--- a/control/tests/limits.rs
+++ b/control/tests/limits.rs
@@ -110,6 +110,16 @@
     assert_eq!(probes.take_for_request(ms(60_000), 10.0, 3), 0);
 }
 
+/// The interval at such a rate is longer than a `Duration`; computing it ended the process.
+#[rstest]
+#[case::smallest(f64::MIN_POSITIVE)]
+#[case::years(1e-12)]
+fn target_with_the_lowest_rate_gets_one_request(#[case] rate_per_s: f64) {
+    let mut limiter = WarmupLimiter::default();
+    assert!(limiter.try_take(ms(1000), rate_per_s));
+    assert!(!limiter.try_take(ms(86_400_000), rate_per_s));
+}
+
 fn destinations(weights: &[u32]) -> Vec<Destination> {
     let weights = weights.iter().enumerate();
     weights
