A new connection has the head timeout for its first request

Callers would see: under an idle timeout of some milliseconds, connections are closed before their first request arrives.

Cause: a new connection counted as idle, although its first request is on its way. With an idle timeout of 0, the check ran without pause while a request was in progress.

Change: until its first head is read, a connection may stay idle for at least the head timeout. While a connection is in use, it is checked every 10 ms at most.

Evidence: callers `new_connection_has_time_for_its_first_request` failed in both rows (0 and 20 ms): no response. The tests of callers and shutdown pass.

--- a/entry/src/connection_state.rs
+++ b/entry/src/connection_state.rs
@@ -30,6 +30,9 @@
 /// connection right before.
 const IDLE_TIMEOUT_AT_END: Duration = Duration::from_millis(200);
 
+/// Shortest interval of checks whether a connection that is in use has become idle.
+const IDLE_CHECK_INTERVAL_MIN: Duration = Duration::from_millis(10);
+
 /// Timeout for reading a request head while no bundle is active.
 const HEAD_TIMEOUT_DEFAULT: Duration = Duration::from_secs(5);
 
@@ -46,6 +49,8 @@
 /// State of one connection, shared by its stream, its requests and its idle timer.
 pub struct ConnectionState {
     stage: Cell<Stage>,
+    /// True until the first request head has been read.
+    is_new: Cell<bool>,
     /// True once the idle timeout has expired.
     is_closing: Cell<bool>,
     /// True while the socket takes no more bytes of a response.
@@ -61,6 +66,7 @@
         let stage = Cell::new(Stage::Idle(shared.now()));
         Rc::new(Self {
             stage,
+            is_new: Cell::new(true),
             is_closing: Cell::new(false),
             is_write_blocked: Cell::new(false),
             is_end_awaited: Cell::new(false),
@@ -70,22 +76,28 @@
 
     /// Records that a complete request head has been read.
     pub fn begin_request(&self) {
+        self.is_new.set(false);
         self.stage.set(Stage::Serving);
     }
 
     /// Returns how much longer the connection may stay idle; the whole timeout while a request is
-    /// in progress, so that the idle timer in `caller::serve` checks again after it.
+    /// in progress, so that the idle timer in `caller::serve` checks again after it. A new connection has at
+    /// least the time for a request head, since it need not be idle: its first request is on its way.
     pub fn idle_remaining(&self) -> Duration {
         let timeout = match self.shared.phase() {
             Phase::Running | Phase::Leaving => {
                 let bundle = self.shared.bundle();
-                bundle.map_or(IDLE_TIMEOUT_DEFAULT, |b| b.limits.idle_timeout)
+                let timeout = bundle.map_or(IDLE_TIMEOUT_DEFAULT, |b| b.limits.idle_timeout);
+                match self.is_new.get() {
+                    true => timeout.max(self.head_timeout()),
+                    false => timeout,
+                }
             }
             Phase::Finishing | Phase::Responding | Phase::Ended => IDLE_TIMEOUT_AT_END,
         };
         match self.stage.get() {
             Stage::Idle(idle_since) => (idle_since + timeout).saturating_sub(self.shared.now()),
-            Stage::ReadingHead | Stage::Serving => timeout,
+            Stage::ReadingHead | Stage::Serving => timeout.max(IDLE_CHECK_INTERVAL_MIN),
         }
     }
 
--- a/entry/tests/callers.rs
+++ b/entry/tests/callers.rs
@@ -3,11 +3,14 @@
 
 mod common;
 
+use std::time::Duration;
+
 use common::{EVENT_TIMEOUT, expect_response, fleet, lanes, read, until};
 use http::StatusCode;
 use lacewingmoor_bundle::{RawBundle, RawLimits};
 use lacewingmoor_standin::caller::CallerRequest;
 use lacewingmoor_standin::fleet::{Fleet, HOST, bundle};
+use rstest::rstest;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 
@@ -119,6 +122,34 @@
     );
 }
 
+/// With a short idle timeout, an entry closed each connection before its first request arrived.
+#[rstest]
+#[case::zero(0)]
+#[case::short(20)]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn new_connection_has_time_for_its_first_request(#[case] idle_timeout_ms: u64) {
+    let fleet = fleet(&lanes(), 1).await;
+    let mut new_bundle = bundle(2, &[lanes()]);
+    new_bundle.limits.idle_timeout_ms = idle_timeout_ms;
+    fleet.store.put_bundle(&new_bundle);
+    until("the new bundle is active", async || {
+        let log = fleet.entries[0].log_text();
+        log.contains("event=bundle_in_force version=2")
+    })
+    .await;
+    let mut stream = connect(&fleet).await;
+    tokio::time::sleep(Duration::from_millis(200)).await;
+    let head = request_head("r-1").replace("/second/", "/read/");
+    stream.write_all(head.as_bytes()).await.expect("written");
+    let mut response = Vec::new();
+    // The entry closes the connection once it is idle again.
+    let read = stream.read_to_end(&mut response);
+    let end = tokio::time::timeout(EVENT_TIMEOUT, read).await;
+    end.expect("the connection is closed").expect("a response");
+    let response = String::from_utf8_lossy(&response);
+    assert!(response.starts_with("HTTP/1.1 200"), "{response}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn idle_connections_stay_open_after_the_head_timeout() {
     let fleet = fleet_with_short_head_timeout().await;
