--- a/bundle/src/error.rs
+++ b/bundle/src/error.rs
@@ -20,6 +20,18 @@
     pub column: Option<usize>,
 }
 
+impl ValidationError {
+    /// Returns an error without line and column.
+    pub fn new(path: impl Into<String>, message: impl Into<String>) -> Self {
+        Self {
+            path: path.into(),
+            message: message.into(),
+            line: None,
+            column: None,
+        }
+    }
+}
+
 impl fmt::Display for ValidationError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         if let (Some(line), Some(column)) = (self.line, self.column) {
--- a/bundle/src/raw.rs
+++ b/bundle/src/raw.rs
@@ -56,7 +56,7 @@
 #[raw]
 #[serde(deny_unknown_fields)]
 pub struct RawRoute {
-    /// Name, unique in the bundle.
+    /// Name; unique in a document.
     pub name: String,
     /// Host that the route matches.
     pub host: String,
--- a/bundle/tests/check.rs
+++ b/bundle/tests/check.rs
@@ -33,6 +33,13 @@
 #[case::name_twice(Case { from: "name: season-plan", to: "name: lane-lookup", error: "is used twice" })]
 #[case::zero_timeout(Case { from: "timeout_ms: 1500", to: "timeout_ms: 0", error: "routes[0].timeout_ms" })]
 #[case::negative_rate(Case { from: "{ name: lanes, health_path: /health, connections_max: 250, warmup_ms: 3000, warmup_per_s: 7 }", to: "{ name: lanes, health_path: /health, connections_max: 250, warmup_ms: 3000, warmup_per_s: -7 }", error: "is not a rate" })]
+#[case::rank_above_1000(Case { from: "priority: 1\n", to: "priority: 1001\n", error: "priority: 1001 is out of range" })]
+#[case::name_with_space(Case { from: "name: season-plan", to: "name: season plan", error: "without whitespace" })]
+#[case::health_path_with_query(Case { from: "health_path: /health", to: "health_path: /health?x", error: "omit the query" })]
+#[case::idle_timeout_of_two_hours(Case { from: "idle_timeout_ms: 15000", to: "idle_timeout_ms: 7200000", error: "limits.idle_timeout_ms" })]
+#[case::no_attempt(Case { from: "attempts_max: 2", to: "attempts_max: 0", error: "attempts_max: 0 is out of range" })]
+#[case::no_connection(Case { from: "connections_max: 250", to: "connections_max: 0", error: "connections_max: 0 is out of range" })]
+#[case::workspaces_null(Case { from: "limits:", to: "workspaces:\nlimits:", error: "workspaces: is null" })]
 #[case::unknown_field(Case { from: "priority: 1\n", to: "prio: 1\n", error: "unknown field" })]
 #[case::unknown_repeat(Case { from: "repeat: once", to: "repeat: twice", error: "unknown variant" })]
 fn invalid_bundle_is_rejected_with_path_or_reason(#[case] case: Case) {
--- a/cli/src/cmd/render.rs
+++ b/cli/src/cmd/render.rs
@@ -33,7 +33,7 @@
 /// bundle is invalid.
 pub fn run(args: &Args) -> Result<CommandOutput, Error> {
     let raw = read_bundle("render", &args.bundle)?;
-    Bundle::try_from(raw.clone()).context(("render", args.bundle.as_path()))?;
+    Bundle::from_document(raw.clone()).context(("render", args.bundle.as_path()))?;
     let text = String::from_utf8_lossy(&config::encode(&raw)).into_owned();
     Ok(CommandOutput::new(&RenderedBundle(text), Exit::Ok))
 }
--- a/control/src/admission.rs
+++ b/control/src/admission.rs
@@ -52,14 +52,14 @@
 #[derive(Default)]
 pub struct Priority {
     /// Priority of the workspace, 0 if the request has none; 0 is the most urgent.
-    pub workspace: u32,
+    pub workspace: u64,
     /// Priority of the route; 0 is the most urgent.
-    pub route: u32,
+    pub route: u64,
 }
 
 impl Priority {
     /// Returns the priority of a request without a workspace.
-    pub fn of_route(route: u32) -> Self {
+    pub fn of_route(route: u64) -> Self {
         Self {
             workspace: 0,
             route,
@@ -312,7 +312,7 @@
     /// Expected to meet the soft deadline.
     OnTime(Priority),
     /// Expected to miss the soft deadline; with the priority of the workspace.
-    Late(u32),
+    Late(u64),
 }
 
 /// Place of a request in queue order: the smallest is first and is served first. New requests are
--- a/control/src/message_bounds.rs
+++ b/control/src/message_bounds.rs
@@ -44,6 +44,9 @@
     pub body_bytes: usize,
 }
 
+/// Greatest length of a request head that is held, whatever the bundle allows: each connection may hold one.
+const HEAD_BYTES_HELD_MAX: usize = 1 << 20;
+
 impl MessageBounds {
     /// Returns the bounds of a kind of message.
     pub const fn of(kind: MessageKind) -> Self {
@@ -67,7 +70,7 @@
     pub fn of_request(limits: Option<&Limits>) -> Self {
         match limits {
             Some(limits) => Self {
-                head_bytes: limits.head_bytes_max,
+                head_bytes: limits.head_bytes_max.min(HEAD_BYTES_HELD_MAX),
                 body_bytes: usize::try_from(limits.body_bytes_max).unwrap_or(usize::MAX),
             },
             None => Self::of(MessageKind::Request),
--- a/control/src/split.rs
+++ b/control/src/split.rs
@@ -23,7 +23,8 @@
         let mut total = 0;
         let mut best: Option<usize> = None;
         for (i, destination) in destinations.iter().enumerate() {
-            let weight = i64::from(destination.weight);
+            // At most `WEIGHT_MAX`, so that sums do not overflow.
+            let weight = destination.weight as i64;
             if weight == 0 {
                 continue;
             }
--- a/entry/src/authorization.rs
+++ b/entry/src/authorization.rs
@@ -100,14 +100,14 @@
     }
 }
 
-/// Returns the route of that name in the newest bundle, or the admitted one if it was dropped.
+/// Returns the same route in the newest bundle, or the admitted one if it was dropped.
 fn current_route<'a>(bundle: &'a Rc<Bundle>, admitted: &'a Rc<Bundle>, id: RouteId) -> &'a Route {
     let route = &admitted.routes[id];
     if Rc::ptr_eq(bundle, admitted) {
         return route;
     }
     let mut routes = bundle.routes.iter();
-    routes.find(|r| r.name == route.name).unwrap_or(route)
+    routes.find(|r| r.key == route.key).unwrap_or(route)
 }
 
 fn current_workspace(bundle: &Rc<Bundle>, identity: &Identity) -> Option<WorkspaceName> {
--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -47,6 +47,10 @@
 /// Time after which a caller may retry that was refused because the entry has no bundle yet.
 const NO_BUNDLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 
+/// Time after which a caller may retry whose route is closed by the bundle: one that allows no attempt or has
+/// no destination. A later bundle may open it.
+const CLOSED_ROUTE_RETRY_AFTER: Duration = Duration::from_secs(2);
+
 /// Mean response size ([`ServiceState::response_bytes`]) above which requests of a service avoid
 /// other regions.
 const LARGE_RESPONSE_BYTES: f64 = 20_000.0;
@@ -235,6 +239,10 @@
         let route = &bundle.routes[route_id];
         self.identity = authorize(self.shared, &bundle, route, &head.headers)?;
         let workspace_id = self.identity.as_ref().map(|identity| identity.workspace_id);
+        if route.attempts_max == 0 || route.timeout.is_zero() {
+            let reason = "route allows no attempt";
+            return Err(LocalResponse::not_run(reason, CLOSED_ROUTE_RETRY_AFTER));
+        }
         let stated_timeout = self.shared.settings.dialect.caller_timeout(&head.headers);
         let caller_timeout = stated_timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
         let is_late = self.elapsed_before_arrival(route, caller_timeout) >= route.objective;
@@ -342,10 +350,10 @@
     /// longest seen so far.
     fn elapsed_before_arrival(&self, route: &Route, caller_timeout: Duration) -> Duration {
         let mut longest_caller_timeouts = self.shared.longest_caller_timeouts.borrow_mut();
-        let longest = match longest_caller_timeouts.get_mut(&route.name) {
+        let longest = match longest_caller_timeouts.get_mut(&route.key) {
             Some(longest) => longest,
             None => longest_caller_timeouts
-                .entry(route.name.clone())
+                .entry(route.key.clone())
                 .or_default(),
         };
         *longest = caller_timeout.max(*longest);
@@ -364,17 +372,17 @@
     fn select_service(&self, bundle: &Bundle, route: &Route) -> Result<usize, LocalResponse> {
         let service_id = {
             let mut splits = self.shared.route_splits.borrow_mut();
-            match splits.get_mut(&route.name) {
+            match splits.get_mut(&route.key) {
                 Some(split) => split.next(&route.destinations),
                 None => splits
-                    .entry(route.name.clone())
+                    .entry(route.key.clone())
                     .or_default()
                     .next(&route.destinations),
             }
         };
-        let service_id = service_id.ok_or(LocalResponse::invalid(
-            StatusCode::NOT_FOUND,
-            "route leads nowhere",
+        let service_id = service_id.ok_or(LocalResponse::not_run(
+            "no destination has a weight",
+            CLOSED_ROUTE_RETRY_AFTER,
         ))?;
         let service = &bundle.services[service_id];
         let mut services = self.shared.services.borrow_mut();
--- a/entry/src/shared_state.rs
+++ b/entry/src/shared_state.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lacewingmoor_bundle::{Bundle, WorkspaceName};
+use lacewingmoor_bundle::{Bundle, RouteKey, WorkspaceName};
 use lacewingmoor_control::budget::{ProbeBudget, RetryBudget};
 use lacewingmoor_control::counts::Exchange;
 use lacewingmoor_control::locality::LeaveShares;
@@ -93,10 +93,10 @@
     pub target_stats: RefCell<Map<TargetId, TargetStats>>,
     /// State of each service, by name.
     pub services: RefCell<Map<String, ServiceState>>,
-    /// Split of each route's requests among its destinations, by route name.
-    pub route_splits: RefCell<Map<String, WeightedRoundRobin>>,
-    /// Longest timeout that a caller of each route has stated, by route name.
-    pub longest_caller_timeouts: RefCell<Map<String, Duration>>,
+    /// Split of each route's requests among its destinations.
+    pub route_splits: RefCell<Map<RouteKey, WeightedRoundRobin>>,
+    /// Longest timeout that a caller of each route has stated.
+    pub longest_caller_timeouts: RefCell<Map<RouteKey, Duration>>,
     /// Counts that this entry exchanges with others.
     pub counts: RefCell<Exchange>,
     /// Services that are being moved to another version.
--- a/entry/src/workspace_metrics.rs
+++ b/entry/src/workspace_metrics.rs
@@ -20,7 +20,7 @@
 /// Labels of the workspaces of the bundle that was active last.
 #[derive(Default)]
 pub struct WorkspaceLabels {
-    version: Version,
+    version: Option<Version>,
     named: Set<WorkspaceName>,
     named_ever: Set<WorkspaceName>,
 }
@@ -31,7 +31,7 @@
         let Some(name) = workspace else {
             return NONE;
         };
-        if self.version != bundle.version {
+        if self.version != Some(bundle.version) {
             self.update(bundle);
         }
         match self.named.contains(name) {
@@ -41,7 +41,7 @@
     }
 
     fn update(&mut self, bundle: &Bundle) {
-        self.version = bundle.version;
+        self.version = Some(bundle.version);
         self.named.clear();
         for workspace in bundle.largest_workspaces(NAMED_MAX) {
             let has_room = self.named_ever.len() < NAMED_EVER_MAX;
