Log, metrics and status say which field keeps a bundle out and which version stays

Operators saw one line, `store_item_unusable`, with a message but neither the path of the field in the platform's format, the version, nor the version that stays in force; no metric counted it.

Cause: a bundle that could not be decoded was the same as any other store item that could not, one text.

Change: `RejectedBundle` has the version and each error with its field.

--- a/control/src/model.rs
+++ b/control/src/model.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use lacewingmoor_bundle::Bundle;
+use lacewingmoor_bundle::{Bundle, ValidationError, Version};
 use lacewingmoor_derive::{value, wire};
 
 use crate::rollout::{RolloutOrder, RolloutRecord, ServiceName};
@@ -106,6 +106,16 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// A stored bundle that entries cannot apply.
+#[value]
+#[derive(Eq)]
+pub struct RejectedBundle {
+    /// Its version; `None` if it cannot be read either.
+    pub version: Option<Version>,
+    /// Why, with the path of each field in the stored value.
+    pub errors: Vec<ValidationError>,
+}
+
 /// Decoded key of a [`Record`].
 #[value]
 #[derive(Eq, Hash)]
@@ -129,6 +139,8 @@
 pub enum RecordValue {
     /// The configuration bundle.
     Bundle(Rc<Bundle>),
+    /// A configuration bundle that cannot be applied.
+    RejectedBundle(Rc<RejectedBundle>),
     /// A registered target.
     Target(Rc<Target>),
     /// The zone is out of service.
--- a/control/src/view.rs
+++ b/control/src/view.rs
@@ -17,8 +17,8 @@
 use lacewingmoor_derive::value;
 
 use crate::model::{
-    Change, Entry, EntryName, RecordKey, RecordValue, RegionName, Revision, Target, TargetId,
-    ZoneName,
+    Change, Entry, EntryName, RecordKey, RecordValue, RegionName, RejectedBundle, Revision, Target,
+    TargetId, ZoneName,
 };
 use crate::rendezvous::rendezvous_key;
 use crate::rollout::known::KnownRollout;
@@ -76,6 +76,13 @@
     BundleActivated(Version),
     /// A bundle was ignored because its version is not newer than the active one.
     BundleIgnored(Version),
+    /// A bundle cannot be applied; the version `kept` stays active, if there is one.
+    BundleRejected {
+        /// The bundle.
+        rejected: Rc<RejectedBundle>,
+        /// The active version.
+        kept: Option<Version>,
+    },
     /// A target was added, changed or removed.
     Target(TargetId, TargetChange),
     /// A zone went out of service (`true`) or returned to service (`false`).
@@ -124,6 +131,7 @@
 #[derive(Default)]
 pub struct View {
     bundle: Option<(Rc<Bundle>, Revision)>,
+    rejected_bundle: Option<Rc<RejectedBundle>>,
     targets: Map<TargetId, RegisteredTarget>,
     zones_out_of_service: Map<ZoneName, Revision>,
     entries: Map<EntryName, (Rc<Entry>, Revision)>,
@@ -191,6 +199,11 @@
         self.bundle.as_ref().map(|(bundle, _)| bundle)
     }
 
+    /// Returns the bundle that was rejected since the active one was written; `None` if there is none.
+    pub fn rejected_bundle(&self) -> Option<&RejectedBundle> {
+        self.rejected_bundle.as_deref()
+    }
+
     /// Returns a registered target.
     pub fn target(&self, id: &str) -> Option<&RegisteredTarget> {
         self.targets.get(id)
@@ -520,6 +533,11 @@
             (RecordKey::Bundle, Some(RecordValue::Bundle(bundle))) => {
                 self.set_bundle(bundle, revision)
             }
+            (RecordKey::Bundle, Some(RecordValue::RejectedBundle(rejected))) => {
+                self.rejected_bundle = Some(rejected.clone());
+                let kept = self.bundle().map(|bundle| bundle.version);
+                Effect::BundleRejected { rejected, kept }
+            }
             // A bundle stays active until a newer one replaces it.
             (RecordKey::Bundle, None) => Effect::None,
             (RecordKey::Bundle, Some(value)) => invalid(value),
@@ -617,6 +635,7 @@
             return Effect::BundleIgnored(version);
         }
         self.bundle = Some((bundle, revision));
+        self.rejected_bundle = None;
         Effect::BundleActivated(version)
     }
 
--- a/control/tests/view.rs
+++ b/control/tests/view.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
+use std::rc::Rc;
+
 use common::{bundle, entry, entry_registered, in_era, ms, registered, removed, rev, target};
-use lacewingmoor_control::model::{Change, RecordKey, RecordValue, Target};
+use lacewingmoor_bundle::ValidationError;
+use lacewingmoor_control::model::{Change, RecordKey, RecordValue, RejectedBundle, Target};
 use lacewingmoor_control::view::{Effect, LAPSED_RETENTION, TargetChange, View};
 use rstest::rstest;
 
@@ -33,6 +36,14 @@
     assert_eq!(view.bundle().map(|b| b.version), Some(case.active));
 }
 
+fn rejected() -> Rc<RejectedBundle> {
+    let error = ValidationError::new("version", "is wrong");
+    Rc::new(RejectedBundle {
+        version: None,
+        errors: vec![error],
+    })
+}
+
 struct KeptCase {
     value: Option<RecordValue>,
     effect: Effect,
@@ -43,6 +54,10 @@
     value: Some(RecordValue::Invalid("cut short".into())),
     effect: Effect::Invalid("cut short".into()),
 })]
+#[case::rejected(KeptCase {
+    value: Some(RecordValue::RejectedBundle(rejected())),
+    effect: Effect::BundleRejected { rejected: rejected(), kept: Some(3) },
+})]
 #[case::removed(KeptCase { value: None, effect: Effect::None })]
 fn active_bundle_is_kept_when_an_invalid_one_arrives_or_the_key_is_removed(#[case] case: KeptCase) {
     let mut view = View::default();
@@ -56,6 +71,22 @@
     assert_eq!(view.bundle().map(|b| b.version), Some(3));
 }
 
+/// Operators would take a bundle for rejected that a newer one has replaced.
+#[test]
+fn newer_bundle_ends_the_rejection() {
+    let mut view = View::default();
+    view.apply(ms(0), bundle_change(3, 10));
+    let change = Change {
+        key: RecordKey::Bundle,
+        revision: rev(11),
+        value: Some(RecordValue::RejectedBundle(rejected())),
+    };
+    view.apply(ms(0), change);
+    assert_eq!(view.rejected_bundle(), Some(&*rejected()));
+    view.apply(ms(0), bundle_change(5, 12));
+    assert_eq!(view.rejected_bundle(), None);
+}
+
 #[test]
 fn older_registration_does_not_restore_a_removed_target() {
     let mut view = View::default();
--- a/entry/src/lib.rs
+++ b/entry/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod attempt;
 pub mod authorization;
 pub mod body_memory;
+mod bundle_rejection;
 pub mod caller;
 pub mod connection;
 pub mod connection_state;
--- a/entry/src/status.rs
+++ b/entry/src/status.rs
@@ -85,6 +85,7 @@
         "ready": shared.is_ready(),
         "phase": format!("{:?}", shared.phase()),
         "bundle_version": view.bundle().map(|bundle| bundle.version),
+        "rejected_bundle_version": view.rejected_bundle().and_then(|rejected| rejected.version),
         "store_revision": revision.number,
         "store_era": revision.era,
         "knowledge_age_ms": shared.view_age().as_millis() as u64,
--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -18,7 +18,7 @@
 
 use crate::shared_state::SharedState;
 use crate::store_client::{Client, Error as StoreError, LISTING_BYTES_MAX, Reply};
-use crate::{peer, peer_protocol, rollout};
+use crate::{bundle_rejection, peer, peer_protocol, rollout};
 
 /// Time that a watch waits for changes, as a share of the deadline for applying changes. A store
 /// that stops responding is noticed after this time and the response timeout, which leaves time to
@@ -515,6 +515,7 @@
         match effect {
             Effect::None => {}
             Effect::BundleActivated(version) => {
+                bundle_rejection::record_active(*version);
                 info!(shared.log, "bundle_in_force"; "version" => version);
                 let warnings = shared.bundle().map(|bundle| bundle.warnings.clone());
                 for warning in warnings.unwrap_or_default() {
@@ -525,6 +526,9 @@
             Effect::BundleIgnored(version) => {
                 warn!(shared.log, "bundle_ignored"; "version" => version);
             }
+            Effect::BundleRejected { rejected, kept } => {
+                bundle_rejection::record(&shared.log, rejected, *kept);
+            }
             Effect::Target(id, change) => {
                 info!(shared.log, "target"; "target" => &**id, "change" => ?change);
                 update_target_stats(shared, id);
--- a/entry/tests/allowed_configurations.rs
+++ b/entry/tests/allowed_configurations.rs
@@ -1,6 +1,6 @@
 //! Entries with configurations whose values no page forbids, with real processes. Guards against one value
 //! that keeps the whole configuration out of force, keeps entries from getting ready after a restart or
-//! ends them.
+//! ends them, and against rejections that nobody sees.
 
 mod common;
 
@@ -11,7 +11,7 @@
 use lacewingmoor_platform::config;
 use lacewingmoor_platform::registry::CONFIG_KEY;
 use lacewingmoor_standin::caller::CallerRequest;
-use lacewingmoor_standin::fleet::{Fleet, ServiceSpec, bundle};
+use lacewingmoor_standin::fleet::{Fleet, ServiceSpec, bundle, get};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -180,3 +180,44 @@
         assert!((9..=11).contains(&count), "{count} of 20 {start} requests");
     }
 }
+
+/// Operators learned only that some value was unusable, not which, nor which version stayed in force.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn rejected_configuration_is_reported_with_its_field() {
+    let fleet = fleet(&lanes(), 1).await;
+    let entry = &fleet.entries[0];
+    let mut config = configuration(2, &[lanes()]);
+    added_route(&mut config)["priority"] = json!("first");
+    fleet.store.put(CONFIG_KEY, config.to_string().into_bytes());
+    until("the configuration is rejected", async || {
+        entry.log_text().contains("event=store_item_unusable")
+    })
+    .await;
+    let log = entry.log_text();
+    let line = log
+        .lines()
+        .find(|line| line.contains("event=store_item_unusable"));
+    let line = line.expect("a line");
+    for part in [
+        "version=2",
+        "kept_version=1",
+        "field=virtualHosts[2].paths[0].priority",
+    ] {
+        assert!(line.contains(part), "{line}");
+    }
+    let (_, metrics) = get(entry.metrics_addr, "/metrics").await.expect("a page");
+    let rejected = "lacewingmoor_bundles_rejected_total{field=\"virtualHosts.paths.priority\"} 1";
+    assert!(metrics.contains(rejected), "{metrics}");
+    assert!(
+        metrics.contains("lacewingmoor_bundle_version 1\n"),
+        "{metrics}"
+    );
+    let (_, status) = get(entry.metrics_addr, "/status").await.expect("a page");
+    assert!(status.contains("\"rejected_bundle_version\":2"), "{status}");
+    put(&fleet, &configuration(2, &[lanes()])).await;
+    let (_, status) = get(entry.metrics_addr, "/status").await.expect("a page");
+    assert!(
+        status.contains("\"rejected_bundle_version\":null"),
+        "{status}"
+    );
+}
