An item of the store that cannot be read takes no other with it

Entries would see: one item whose value is not base64, or without a revision, makes its page of a listing and each watch with it unusable, so they follow the store no longer, and after a restart they never begin to.

Cause: all items of a response were decoded together.

Change: they are decoded one by one. An item with key and revision whose value cannot be read is like one with an unusable value; others are left out. Each is logged with its key.

--- a/entry/src/view_sync.rs
+++ b/entry/src/view_sync.rs
@@ -388,6 +388,7 @@
                 ..newest_revision(&page.records)
             },
         };
+        log_unreadable(shared, &page.unreadable);
         revision = Some(revision.map_or(page_revision, |r: Revision| r.min(page_revision)));
         let last_key = page.records.last().map(|record| record.key.clone());
         if page.has_more && last_key <= after {
@@ -437,6 +438,12 @@
     usable.collect()
 }
 
+fn log_unreadable(shared: &SharedState, items: &[String]) {
+    for item in items {
+        warn!(shared.log, "store_item_unusable"; "why" => item);
+    }
+}
+
 /// Waits for changes. Returns the time at which the response arrived, and the changes.
 async fn watch(
     shared: &Rc<SharedState>,
@@ -451,6 +458,7 @@
         return Err(StoreError::OtherEra(era, after.era));
     }
     let events = store::decode_events(reply.status, &reply.body, era)?;
+    log_unreadable(shared, &events.unreadable);
     // A watch covers all keys, so after it the registrations of entries are known.
     shared.view.borrow_mut().mark_entries_read();
     let update = Update {
