A hostname with a port has routes too

Callers would see: 404 on all routes of a host that the configuration writes with a port, since the port of each request was dropped before the routes were looked up.

Change: the routes of the host as it is written are looked up first, then those of the host without its port, as before.

Evidence: allowed_configurations `host_with_port` failed before: 404.

--- a/bundle/src/model.rs
+++ b/bundle/src/model.rs
@@ -155,9 +155,11 @@
 }
 
 impl Bundle {
-    /// Returns the route of `host` with the longest path prefix that matches `path`.
+    /// Returns the route of `host`, in lower case, with the longest path prefix that matches `path`. A host
+    /// with a port that has no routes of its own has those of the host without the port.
     pub fn route(&self, host: &str, path: &str) -> Option<RouteId> {
-        let routes = self.routes_by_host.get(host)?;
+        let routes = self.routes_by_host.get(host);
+        let routes = routes.or_else(|| self.routes_by_host.get(without_port(host)))?;
         routes
             .iter()
             .copied()
@@ -185,6 +187,13 @@
     }
 }
 
+fn without_port(host: &str) -> &str {
+    match host.rsplit_once(':') {
+        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
+        _ => host,
+    }
+}
+
 impl Workspace {
     /// Returns true if targets in `region` may serve the workspace.
     pub fn allows(&self, region: &str) -> bool {
--- a/entry/src/inbound.rs
+++ b/entry/src/inbound.rs
@@ -19,16 +19,14 @@
 /// Time after which a caller may retry whose body does not fit. It may reach another entry.
 const NO_MEMORY_RETRY_AFTER: Duration = Duration::from_millis(250);
 
-/// Returns the host of a request in lower case, without a port.
+/// Returns the host of a request in lower case, with its port if it names one.
 pub fn host(head: &Parts) -> String {
     let authority = head.uri.authority().map(|a| a.as_str());
     let header = head.headers.get(HOST).and_then(|value| value.to_str().ok());
-    let host = authority.or(header).unwrap_or_default();
-    let name = match host.rsplit_once(':') {
-        Some((name, port)) if port.bytes().all(|b| b.is_ascii_digit()) => name,
-        _ => host,
-    };
-    name.to_ascii_lowercase()
+    authority
+        .or(header)
+        .unwrap_or_default()
+        .to_ascii_lowercase()
 }
 
 /// Prepares a head for targets: removes the hop-by-hop fields, `expect` and `content-length`, and
--- a/entry/tests/allowed_configurations.rs
+++ b/entry/tests/allowed_configurations.rs
@@ -11,7 +11,7 @@
 use lacewingmoor_platform::config;
 use lacewingmoor_platform::registry::CONFIG_KEY;
 use lacewingmoor_standin::caller::CallerRequest;
-use lacewingmoor_standin::fleet::{Fleet, ServiceSpec, bundle, get};
+use lacewingmoor_standin::fleet::{Fleet, HOST, ServiceSpec, bundle, get};
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -32,6 +32,7 @@
 
 fn added(id: &str) -> CallerRequest {
     CallerRequest {
+        host: format!("{HOST}:8443"),
         path: "/added/1".into(),
         key: Some("key-a".into()),
         ..read(id)
@@ -87,6 +88,10 @@
     c["services"][0]["maxConns"] = json!(u64::MAX);
     added_route(c)["maxAttempts"] = json!(u64::MAX);
 }))]
+#[case::host_with_port(served(|c| {
+    let host = c["virtualHosts"].as_array_mut().expect("a list").last_mut().expect("a host");
+    host["hostname"] = json!(format!("{HOST}:8443"));
+}))]
 #[case::idle_timeout_of_two_hours(served(|c| c["limits"]["idleTimeoutMs"] = json!(7_200_000)))]
 #[case::lists_null(served(|c| {
     added_route(c)["allowedRegions"] = Value::Null;
