The first attempt of a request is not late under an objective of 0

Callers would see: 429 for requests within the limit of their workspace, on routes whose latency objective is 0.

Cause: a request counts as late, and so gets what others leave of the limit, once its caller has retried it for as long as the objective. With an objective of 0 that was so from the start.

Evidence: allowed_configurations `objective_0_with_limit` failed before.

--- a/entry/src/request.rs
+++ b/entry/src/request.rs
@@ -245,7 +245,9 @@
         }
         let stated_timeout = self.shared.settings.dialect.caller_timeout(&head.headers);
         let caller_timeout = stated_timeout.unwrap_or(CALLER_TIMEOUT_DEFAULT);
-        let is_late = self.elapsed_before_arrival(route, caller_timeout) >= route.objective;
+        let elapsed = self.elapsed_before_arrival(route, caller_timeout);
+        // The first attempt is not late, even under an objective of 0.
+        let is_late = !elapsed.is_zero() && elapsed >= route.objective;
         self.admission = workspace_limit::admit(self.shared, &bundle, workspace_id, is_late)?;
         let service_id = self.select_service(&bundle, route)?;
         Ok(RequestPlan {
--- a/entry/tests/allowed_configurations.rs
+++ b/entry/tests/allowed_configurations.rs
@@ -92,6 +92,11 @@
     let host = c["virtualHosts"].as_array_mut().expect("a list").last_mut().expect("a host");
     host["hostname"] = json!(format!("{HOST}:8443"));
 }))]
+#[case::objective_0(served(|c| added_route(c)["targetLatencyMs"] = json!(0)))]
+#[case::objective_0_with_limit(served(|c| {
+    added_route(c)["targetLatencyMs"] = json!(0);
+    tenant(c, json!({ "ratePerS": 100, "burst": 100 }));
+}))]
 #[case::idle_timeout_of_two_hours(served(|c| c["limits"]["idleTimeoutMs"] = json!(7_200_000)))]
 #[case::lists_null(served(|c| {
     added_route(c)["allowedRegions"] = Value::Null;
