A route without a kind keeps no configuration out of force

A kind that is null or left out was an error in the whole configuration; a kind that is not known is a warning, and requests may run once.

--- a/entry/tests/allowed_configurations.rs
+++ b/entry/tests/allowed_configurations.rs
@@ -97,6 +97,7 @@
     added_route(c)["targetLatencyMs"] = json!(0);
     tenant(c, json!({ "ratePerS": 100, "burst": 100 }));
 }))]
+#[case::kind_null(served(|c| added_route(c)["kind"] = Value::Null))]
 #[case::idle_timeout_of_two_hours(served(|c| c["limits"]["idleTimeoutMs"] = json!(7_200_000)))]
 #[case::lists_null(served(|c| {
     added_route(c)["allowedRegions"] = Value::Null;
