--- a/entry/tests/dialect.rs
+++ b/entry/tests/dialect.rs
@@ -87,3 +87,16 @@
     Dialect::Platform.mark_local(&mut response, &local);
     assert!(!response.headers().contains_key("lacewingmoor-outcome"));
 }
+
+/// A name that is no field value would leave the target without the workspace of the request.
+#[rstest]
+#[case::space("swim club")]
+#[case::not_ascii("schwimmverein ü 中")]
+#[case::quotes("\"a\", \\b")]
+#[case::empty("")]
+fn every_name_of_a_workspace_reaches_the_target(#[case] name: &str) {
+    let mut headers = HeaderMap::new();
+    Dialect::Platform.set_workspace(&mut headers, Some(name));
+    let values: Vec<&[u8]> = headers.values().map(|value| value.as_bytes()).collect();
+    assert_eq!(values, [name.as_bytes()]);
+}
