--- a/control/src/authorization.rs
+++ b/control/src/authorization.rs
@@ -13,7 +13,7 @@
 /// Whether requests need keys.
 #[copy_value]
 pub enum KeyUse {
-    /// Requests need no key. A key that a request carries is not an entry's business.
+    /// Requests need no key. The header field of a key is forwarded like any other.
     Unused,
     /// Requests need the key of a workspace, except on public routes. Targets never get a key.
     Required,
